Serve a request end to end by separate processes

Cause: nothing existed.

Ruled out: reading the flow owner from QUIC connection ids, since aioquic has no hook for choosing them; the balancer ranks by caller address instead.

--- /dev/null
+++ b/src/ryesaddle/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The long-running processes: composition roots and tasks."""
--- /dev/null
+++ b/src/ryesaddle/daemons/balancer.py
@@ -0,0 +1,221 @@
+"""The balancer: datagrams of callers in, datagrams to agents out."""
+
+import asyncio
+import logging
+
+import msgspec
+
+from ryesaddle.daemons.control import json_answer
+from ryesaddle.daemons.membership import running
+from ryesaddle.daemons.node import compose_node, stop_event
+from ryesaddle.daemons.peer import open_udp
+from ryesaddle.errors import SettingsError
+from ryesaddle.internal.address import Address
+from ryesaddle.internal.log import event, warn
+from ryesaddle.internal.quic.packet import may_open
+from ryesaddle.internal.routing.dispatcher import Discard, Dispatcher
+from ryesaddle.internal.wire.control import Ping, Pong
+from ryesaddle.internal.wire.message import Answer, Forward
+
+log = logging.getLogger(__name__)
+
+PROBE_S = 0.1
+STOP_LINGER_S = 2.0
+
+
+class ServiceSocket(asyncio.DatagramProtocol):
+    """The socket on one port of a service.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    on_datagram : callable
+        Called with the service, the payload and the caller's address.
+    """
+
+    def __init__(self, service, on_datagram):
+        self.service = service
+        self._on_datagram = on_datagram
+        self._transport = None
+
+    def connection_made(self, transport):
+        """Keep the transport."""
+        self._transport = transport
+
+    def datagram_received(self, data, addr):
+        """Hand a caller's datagram on."""
+        self._on_datagram(self.service, data, Address(*addr[:2]))
+
+    def send(self, payload, caller):
+        """Send an answer from the service address."""
+        self._transport.sendto(payload, caller)
+
+    def close(self):
+        """Release the port."""
+        if self._transport is not None:
+            self._transport.close()
+
+
+class Balancer:
+    """Forwards datagrams between callers and agents.
+
+    Parameters
+    ----------
+    node : Node
+        The member parts.
+    """
+
+    def __init__(self, node):
+        self._node = node
+        self._dispatcher = Dispatcher()
+        self._sockets = {}
+        self._opening = asyncio.Lock()
+        node.peer.on(Answer, self._on_answer)
+        node.peer.on(Pong, self._on_pong)
+        node.server.route("GET", "/status", self._status)
+        node.membership.listen(self._on_change)
+
+    async def probe(self):
+        """Ping agents that owe an answer, until cancelled."""
+        while True:
+            await asyncio.sleep(PROBE_S)
+            now = asyncio.get_running_loop().time()
+            members = {m.node: m for m in self._members()}
+            for node in self._dispatcher.to_probe(now):
+                if node in members:
+                    self._node.peer.send_control(members[node].address, Ping())
+
+    def close(self):
+        """Release the ports of all services."""
+        for sock in self._sockets.values():
+            sock.close()
+
+    def _members(self):
+        return self._node.membership.replica.snapshot.members()
+
+    def _on_datagram(self, service, payload, caller):
+        node = self._node
+        view = node.membership.replica.views.get(service)
+        now = asyncio.get_running_loop().time()
+        opens = may_open(payload)
+        decision = self._dispatcher.route(service, caller, opens, view, now)
+        if isinstance(decision, Discard):
+            node.metrics.count("balancer.discarded")
+            event(log, "discard", flow=caller, service=service, reason=decision.reason)
+            return
+        member = decision.member
+        if decision.reason != "cached":
+            event(
+                log,
+                "route",
+                flow=caller,
+                service=service,
+                target=member.target,
+                reason=decision.reason,
+                view=view.version,
+            )
+        fwd = Forward(
+            service,
+            caller,
+            node.settings.peer,
+            member.node,
+            member.incarnation,
+            payload,
+        )
+        node.peer.send(member.address, fwd)
+        node.metrics.count("balancer.forwarded")
+
+    def _on_answer(self, datagram, body, addr):
+        now = asyncio.get_running_loop().time()
+        sock = self._sockets.get(body.service)
+        if sock is None:
+            self._node.metrics.count("balancer.unknown_service")
+            return
+        if self._dispatcher.answered(
+            body.service, body.caller, datagram.sender, datagram.incarnation, now
+        ):
+            event(
+                log,
+                "owner",
+                flow=body.caller,
+                service=body.service,
+                agent=datagram.sender,
+                reason="answered",
+                view=self._node.membership.replica.version,
+            )
+        sock.send(body.payload, body.caller)
+        self._node.metrics.count("balancer.answered")
+
+    def _on_pong(self, datagram, body, addr):
+        self._dispatcher.heard(datagram.sender)
+
+    def _on_change(self):
+        self._dispatcher.forget({m.node for m in self._members()})
+        task = asyncio.get_running_loop().create_task(self._sync_sockets())
+        task.add_done_callback(_log_failure)
+
+    async def _sync_sockets(self):
+        async with self._opening:
+            services = self._node.membership.replica.cfg.services
+            wanted = {name: item.port for name, item in services.items()}
+            for name, sock in list(self._sockets.items()):
+                if wanted.get(name) != sock.port:
+                    self._sockets.pop(name).close()
+            # A closed transport releases its port in the next loop iteration.
+            await asyncio.sleep(0)
+            for name in sorted(wanted.keys() - self._sockets.keys()):
+                await self._open_socket(name, wanted[name])
+
+    async def _open_socket(self, name, port):
+        sock = ServiceSocket(name, self._on_datagram)
+        sock.port = port
+        address = Address(self._node.settings.service_host, port)
+        try:
+            await open_udp(sock, address, "service_host")
+        except SettingsError as exc:
+            warn(log, "service-not-opened", service=name, reason=exc)
+            return
+        self._sockets[name] = sock
+        event(log, "service-opened", service=name, address=address)
+
+    async def _status(self, req):
+        replica = self._node.membership.replica
+        return json_answer(
+            {
+                "node": self._node.me.node,
+                "role": "balancer",
+                "config": replica.snapshot.generation,
+                "services": sorted(self._sockets),
+                "flows": len(self._dispatcher),
+                "leads": self._node.membership.cell.leads,
+                "counts": dict(self._node.metrics.counts),
+                "store_calls": self._node.store.calls,
+            }
+        )
+
+
+async def run_balancer(settings):
+    """Run a balancer until it is told to stop."""
+    node = compose_node(settings)
+    balancer = Balancer(node)
+    stop = stop_event()
+    try:
+        await node.open()
+        async with running(node.membership.run(), node.metrics.run(), balancer.probe()):
+            event(log, "started", node=node.me.node, role="balancer")
+            await stop.wait()
+            event(log, "stopping", node=node.me.node)
+            # The fabric takes a moment to notice; datagrams still on their way
+            # here, and answers to them, are forwarded meanwhile.
+            node.membership.announce(msgspec.structs.replace(node.me, draining=True))
+            await asyncio.sleep(STOP_LINGER_S)
+    finally:
+        balancer.close()
+        await node.close()
+    event(log, "stopped", node=node.me.node)
+
+
+def _log_failure(task):
+    if not task.cancelled() and task.exception() is not None:
+        warn(log, "task-failed", error=repr(task.exception()))
--- /dev/null
+++ b/src/ryesaddle/daemons/node.py
@@ -0,0 +1,144 @@
+"""What balancers and agents have in common: the composition of a member."""
+
+import asyncio
+import random
+import signal
+import time
+from dataclasses import dataclass
+
+import aiohttp
+
+from ryesaddle.daemons.control import (
+    ControlClient,
+    ControlServer,
+    bearer,
+    json_answer,
+)
+from ryesaddle.daemons.membership import Membership
+from ryesaddle.daemons.peer import PeerSocket
+from ryesaddle.internal.log import set_up_logging
+from ryesaddle.internal.membership.cell import CellMember
+from ryesaddle.internal.metrics import Metrics
+from ryesaddle.internal.routing.member import Member
+from ryesaddle.internal.store.client import StoreClient
+from ryesaddle.internal.wire.codec import Codec
+from ryesaddle.internal.wire.control import Ping, Pong
+from ryesaddle.settings import read_peer_key
+
+
+@dataclass
+class Node:
+    """The parts that every member of the system is made of.
+
+    Attributes
+    ----------
+    settings : NodeSettings
+        Settings of the process.
+    me : Member
+        Its first announcement.
+    peer_key : bytes
+        Secret shared by all members.
+    metrics : Metrics
+        Counters and gauges.
+    peer : PeerSocket
+        Datagrams between members.
+    store : StoreClient
+        Client of the object API.
+    control, server : ControlClient, ControlServer
+        HTTP between members.
+    membership : Membership
+        The cell and the replica of the shared state.
+    session : aiohttp.ClientSession
+        Connections of the clients above.
+    rng : random.Random
+        Source of jitter and choice.
+    """
+
+    settings: object
+    me: Member
+    peer_key: bytes
+    metrics: Metrics
+    peer: PeerSocket
+    store: StoreClient
+    control: ControlClient
+    server: ControlServer
+    membership: Membership
+    session: aiohttp.ClientSession
+    rng: random.Random
+
+    async def open(self):
+        """Bind the sockets of the node."""
+        await self.server.open()
+        await self.peer.open()
+
+    async def close(self):
+        """Release everything the node holds."""
+        self.membership.leave()
+        self.metrics.flush()
+        await self.server.close()
+        self.peer.close()
+        await self.session.close()
+
+
+def compose_node(settings, service="", target=""):
+    """Wire the parts of a member from its settings.
+
+    Must be called inside a running event loop.
+    """
+    set_up_logging(settings.log_level, settings.node)
+    peer_key = read_peer_key(settings.peer_key_file)
+    me = Member(
+        node=settings.node,
+        incarnation=time.time_ns(),
+        address=settings.peer,
+        control=settings.control,
+        data_centre=settings.data_centre,
+        service=service,
+        target=target,
+    )
+    rng = random.Random(me.incarnation)
+    metrics = Metrics(settings.statsd, f"ryesaddle.{settings.node}")
+    session = aiohttp.ClientSession()
+    peer = PeerSocket(Codec(peer_key), me, metrics)
+    store = StoreClient(settings.store_url, session, rng)
+    control = ControlClient(session, bearer(peer_key))
+    server = ControlServer(settings.control, bearer(peer_key))
+    cell = CellMember(settings.cell, me, rng)
+    membership = Membership(cell, peer, store, control, settings.seeds, rng)
+    peer.on(Ping, lambda datagram, body, addr: peer.send_control(addr, Pong()))
+    server.route("GET", "/snapshot", _snapshot_handler(membership))
+    return Node(
+        settings,
+        me,
+        peer_key,
+        metrics,
+        peer,
+        store,
+        control,
+        server,
+        membership,
+        session,
+        rng,
+    )
+
+
+def stop_event():
+    """Return an event that SIGTERM or SIGINT sets; a second signal ends at once."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+
+    def on_signal():
+        if stop.is_set():
+            raise SystemExit(1)
+        stop.set()
+
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, on_signal)
+    return stop
+
+
+def _snapshot_handler(membership):
+    async def handle(req):
+        return json_answer(membership.replica.snapshot)
+
+    return handle
--- /dev/null
+++ b/src/ryesaddle/daemons/peer.py
@@ -0,0 +1,97 @@
+"""The UDP socket between members."""
+
+import asyncio
+import logging
+
+from ryesaddle.errors import SettingsError, WireError
+from ryesaddle.internal.log import warn
+from ryesaddle.internal.wire.control import decode_control, encode_control
+from ryesaddle.internal.wire.message import Control, Datagram
+
+log = logging.getLogger(__name__)
+
+
+class PeerSocket(asyncio.DatagramProtocol):
+    """Sends datagrams to members and hands received ones to a handler.
+
+    Parameters
+    ----------
+    codec : Codec
+        Encodes and authenticates.
+    me : Member
+        This process.
+    metrics : Metrics
+        Where dropped datagrams are counted.
+    """
+
+    def __init__(self, codec, me, metrics):
+        self._codec = codec
+        self._me = me
+        self._metrics = metrics
+        self._transport = None
+        self._handlers = {}
+
+    async def open(self):
+        """Bind the peer address of this process."""
+        await open_udp(self, self._me.address, "peer")
+
+    def close(self):
+        """Release the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def on(self, kind, handler):
+        """Call ``handler(datagram, body, address)`` for each body of a type."""
+        self._handlers[kind] = handler
+
+    def send(self, address, body):
+        """Send a `Forward` or `Answer`."""
+        datagram = Datagram(self._me.node, self._me.incarnation, body)
+        self._transport.sendto(self._codec.encode(datagram), address)
+
+    def send_control(self, address, msg):
+        """Send a control message."""
+        self.send(address, Control(encode_control(msg)))
+
+    def connection_made(self, transport):
+        """Keep the transport."""
+        self._transport = transport
+
+    def error_received(self, exc):
+        """Count an error that the kernel reports for an earlier datagram."""
+        self._metrics.count("peer.unreachable")
+
+    def datagram_received(self, data, addr):
+        """Decode one datagram and hand it on."""
+        try:
+            datagram = self._codec.decode(data)
+            body = datagram.body
+            if isinstance(body, Control):
+                body = decode_control(body.body)
+        except WireError as exc:
+            self._metrics.count("peer.dropped")
+            warn(log, "peer-dropped", source=f"{addr[0]}:{addr[1]}", reason=exc)
+            return
+        handler = self._handlers.get(type(body))
+        if handler is None:
+            self._metrics.count("peer.unhandled")
+            return
+        handler(datagram, body, addr)
+
+
+async def open_udp(protocol, address, field):
+    """Bind a UDP socket for ``protocol``.
+
+    Raises
+    ------
+    SettingsError
+        If the address cannot be bound; ``field`` names its setting.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        await loop.create_datagram_endpoint(lambda: protocol, local_addr=address)
+    except OSError as exc:
+        raise SettingsError(
+            f"{field}: {address} cannot be bound ({exc.strerror}); choose a free "
+            "local address"
+        ) from exc
--- /dev/null
+++ b/src/ryesaddle/daemons/request.py
@@ -0,0 +1,64 @@
+"""One request of a caller, decoded from its HTTP/3 headers."""
+
+import uuid
+from dataclasses import dataclass
+
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+MAX_BODY_BYTES = 1_048_576
+
+
+@dataclass(frozen=True)
+class Request:
+    """The fields of a request that decide how it is handled.
+
+    Attributes
+    ----------
+    request_id : str
+        Value of ``X-Request-ID``, or a new one.
+    method, path : str
+        From the pseudo-headers (RFC 9114, section 4.3.1).
+    headers : tuple of (str, str)
+        All other header fields.
+    key : str
+        Value of ``Idempotency-Key`` of a submission, or empty.
+    timeout_s : float
+        Seconds the caller is willing to wait.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    headers: tuple
+    key: str
+    timeout_s: float
+
+    @property
+    def is_safe(self):
+        """Whether repeating the request does no harm (RFC 9110, section 9.2.1)."""
+        return self.method in SAFE_METHODS
+
+
+def decode_request(raw, default_timeout_s):
+    """Return the `Request` in HTTP/3 header pairs of bytes."""
+    fields = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in raw]
+    pseudo = {k: v for k, v in fields if k.startswith(":")}
+    headers = tuple((k, v) for k, v in fields if not k.startswith(":"))
+    by_name = dict(headers)
+    method = pseudo.get(":method", "GET")
+    key = by_name.get("idempotency-key", "").strip('"')
+    return Request(
+        request_id=by_name.get("x-request-id") or uuid.uuid4().hex,
+        method=method,
+        path=pseudo.get(":path", "/"),
+        headers=headers,
+        key="" if method in SAFE_METHODS else key,
+        timeout_s=_seconds(by_name.get("x-request-timeout"), default_timeout_s),
+    )
+
+
+def _seconds(text, default):
+    try:
+        value = float(text)
+    except (TypeError, ValueError):
+        return default
+    return min(max(value, 0.0), default)
--- /dev/null
+++ b/src/ryesaddle/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private parts of ryesaddle; import from :mod:`ryesaddle` instead."""
--- /dev/null
+++ b/src/ryesaddle/internal/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decides whether a request may run now, wait, or must be refused."""
--- /dev/null
+++ b/src/ryesaddle/internal/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's folder: schema, merge, checks and diffs."""
--- /dev/null
+++ b/src/ryesaddle/internal/journal/__init__.py
@@ -0,0 +1,1 @@
+"""The record of what became of each request."""
--- /dev/null
+++ b/src/ryesaddle/internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Announcements, leases and the replicated view of members."""
--- /dev/null
+++ b/src/ryesaddle/internal/membership/action.py
@@ -0,0 +1,57 @@
+"""What a cell member asks its surroundings to do."""
+
+from dataclasses import dataclass
+
+from ryesaddle.internal.address import Address
+from ryesaddle.internal.membership.lease import Lease
+from ryesaddle.internal.membership.snapshot import CellRecord
+
+
+@dataclass(frozen=True, slots=True)
+class ReadLease:
+    """Read the lease object of the cell."""
+
+
+@dataclass(frozen=True, slots=True)
+class WriteLease:
+    """Write the lease object if it still has ``version``."""
+
+    lease: Lease
+    version: str
+
+
+@dataclass(frozen=True, slots=True)
+class WriteRecord:
+    """Write the cell record if its object still has ``version``."""
+
+    record: CellRecord
+    version: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendHeartbeat:
+    """Send this member's announcement to the leader."""
+
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class SendHeartbeatAck:
+    """Tell a member that its heartbeat arrived, and the leader's digest."""
+
+    address: Address
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class FetchSnapshot:
+    """Fetch the snapshot of the member at ``address`` and join it."""
+
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class FollowStore:
+    """Start (or stop) following the object API for changes."""
+
+    wanted: bool
--- /dev/null
+++ b/src/ryesaddle/internal/membership/cell.py
@@ -0,0 +1,269 @@
+"""Leader election, heartbeats and announcements within one cell."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from ryesaddle.internal.membership.action import (
+    FetchSnapshot,
+    FollowStore,
+    ReadLease,
+    SendHeartbeat,
+    SendHeartbeatAck,
+    WriteLease,
+    WriteRecord,
+)
+from ryesaddle.internal.membership.lease import Lease
+from ryesaddle.internal.membership.snapshot import CellRecord
+from ryesaddle.internal.routing.member import Member
+
+HEARTBEAT_S = 0.5
+LEASE_S = 3.0
+RENEW_S = 1.0
+READ_LEASE_S = 1.0
+READ_LEASE_LIMIT_S = 30.0
+MEMBER_TIMEOUT_S = 2.5
+WRITE_RECORD_S = 0.2
+
+
+@dataclass(slots=True)
+class _Heard:
+    member: Member
+    at: float
+
+
+class CellMember:
+    """One process of a cell; any of them may come to lead it.
+
+    The leader collects heartbeats, writes the members to the object API in
+    batches, and is the only one of the cell to watch it. The others learn of
+    changes from the digest in the acknowledgement of their heartbeats.
+
+    Parameters
+    ----------
+    cell : str
+        Name of the cell.
+    me : Member
+        Announcement of this process.
+    rng : random.Random
+        Source of jitter.
+    """
+
+    def __init__(self, cell, me, rng):
+        self.cell = cell
+        self.me = me
+        self._rng = rng
+        self._lease = None
+        self._lease_version = ""
+        self._lease_seen_at = None
+        self._next_read = 0.0
+        self._next_heartbeat = 0.0
+        self._last_ack = None
+        self._pending_lease = None
+        self._renew_at = 0.0
+        self._read_pause = READ_LEASE_S
+        self._last_tick = None
+        self._record = CellRecord(cell)
+        self._record_version = ""
+        self._record_known = False
+        self._writing = False
+        self._write_at = 0.0
+        self._heard = {}
+        self._led_since = None
+        self._following = False
+
+    @property
+    def leads(self):
+        """Whether this process holds the lease, as far as it knows."""
+        return self._led_since is not None
+
+    @property
+    def term(self):
+        """Term of the newest lease seen, 0 for none."""
+        return self._lease.term if self._lease else 0
+
+    @property
+    def leader(self):
+        """The newest `Lease` seen, or None."""
+        return self._lease
+
+    def followers(self):
+        """Return the members that this leader has heard of, itself left out."""
+        return [
+            heard.member for node, heard in self._heard.items() if node != self.me.node
+        ]
+
+    def tick(self, now):
+        """Return the actions that are due at ``now``."""
+        actions = self._lead(now) if self.leads else self._follow(now)
+        self._last_tick = now
+        return actions + self._switch_following()
+
+    def announce(self, me):
+        """Replace the announcement of this process."""
+        self.me = me
+        self._next_heartbeat = 0.0
+
+    def heartbeat(self, member, now):
+        """Take a member's heartbeat; only the leader answers."""
+        if not self.leads:
+            return []
+        held = self._heard.get(member.node)
+        if held is None or member.incarnation >= held.member.incarnation:
+            self._heard[member.node] = _Heard(member, now)
+        return [SendHeartbeatAck(member.address, self.term)]
+
+    def leave(self, node, incarnation):
+        """Forget a member that has stopped."""
+        held = self._heard.get(node)
+        if held and held.member.incarnation == incarnation:
+            del self._heard[node]
+
+    def acknowledged(self, term, address, digest, mine, now):
+        """Take the leader's acknowledgement and compare snapshot digests."""
+        if term < self.term:
+            return []
+        self._last_ack = now
+        return [FetchSnapshot(address)] if digest != mine else []
+
+    def lease_read(self, lease, version, now):
+        """Take the result of `ReadLease`; ``lease`` is None if there is none."""
+        self._read_pause = READ_LEASE_S
+        if version != self._lease_version or self._lease_seen_at is None:
+            self._lease = lease if lease is not None else self._lease
+            self._lease_version = version
+            self._lease_seen_at = now
+            self._next_heartbeat = 0.0
+        if lease is None or self._has_lapsed(now):
+            return [self._bid(now)]
+        return []
+
+    def lease_read_failed(self, now):
+        """Note that the store did not answer `ReadLease`."""
+        self._read_pause = min(self._read_pause * 2, READ_LEASE_LIMIT_S)
+        self._next_read = now + self._read_pause * self._rng.uniform(0.8, 1.4)
+
+    def lease_written(self, version, now):
+        """Take the version that `WriteLease` gave the lease object."""
+        lease, self._pending_lease = self._pending_lease, None
+        if lease is None:
+            return
+        new_term = not self.leads
+        self._lease, self._lease_version = lease, version
+        self._lease_seen_at = now
+        self._renew_at = now + RENEW_S
+        if new_term:
+            self._begin(now)
+
+    def lease_conflicted(self, now):
+        """Note that another member wrote the lease first."""
+        self._pending_lease = None
+        self._led_since = None
+        self._last_ack = None
+        self._lease_seen_at = None
+        self._next_read = now
+
+    def lease_write_failed(self, now):
+        """Note that the store did not answer `WriteLease`.
+
+        A leader goes on leading: nobody else can take the lease while the store
+        is away, and if somebody does later, conditional writes fence this one.
+        """
+        self._pending_lease = None
+        self._renew_at = now + RENEW_S
+
+    def record_read(self, record, version, now):
+        """Take the cell record, as listed or watched in the store."""
+        if record.generation < self._record.generation:
+            return
+        self._record, self._record_version = record, version
+        if self.leads and not self._record_known:
+            self._record_known = True
+            for member in record.members:
+                self._heard.setdefault(member.node, _Heard(member, now))
+
+    def record_written(self, ok, now):
+        """Take the result of `WriteRecord`."""
+        self._writing = False
+        self._write_at = now + WRITE_RECORD_S
+        if not ok:
+            self._record_known = False
+
+    def record_absent(self):
+        """Note that the store was listed and has no record of this cell."""
+        if self.leads:
+            self._record_known = True
+
+    def _follow(self, now):
+        actions = []
+        if self._lease is not None and now >= self._next_heartbeat:
+            self._next_heartbeat = now + HEARTBEAT_S
+            actions.append(SendHeartbeat(self._lease.address))
+        if self._misses_leader(now) and now >= self._next_read:
+            self._next_read = now + READ_LEASE_S * self._rng.uniform(0.8, 1.4)
+            actions.append(ReadLease())
+        return actions
+
+    def _misses_leader(self, now):
+        if self._lease is None or self._last_ack is None:
+            return True
+        return now - self._last_ack > 2.5 * HEARTBEAT_S
+
+    def _has_lapsed(self, now):
+        if self._lease and (self._lease.holder, self._lease.incarnation) == (
+            self.me.identity
+        ):
+            return not self.leads
+        return now - self._lease_seen_at >= LEASE_S
+
+    def _bid(self, now):
+        lease = Lease(self.me.node, self.me.incarnation, self.me.address, self.term + 1)
+        self._pending_lease = lease
+        return WriteLease(lease, self._lease_version)
+
+    def _begin(self, now):
+        self._led_since = now
+        self._record_known = False
+        self._writing = False
+        self._heard = {}
+
+    def _lead(self, now):
+        actions = []
+        self._excuse_own_pause(now)
+        if now >= self._renew_at and self._pending_lease is None:
+            renewed = msgspec.structs.replace(
+                self._lease, renewals=self._lease.renewals + 1
+            )
+            self._pending_lease = renewed
+            actions.append(WriteLease(renewed, self._lease_version))
+        self._heard[self.me.node] = _Heard(self.me, now)
+        self._heard = {
+            node: heard
+            for node, heard in self._heard.items()
+            if now - heard.at < MEMBER_TIMEOUT_S
+        }
+        return actions + self._write_record(now)
+
+    def _excuse_own_pause(self, now):
+        # After a pause of this process, silence of the members proves nothing.
+        if self._last_tick is not None and now - self._last_tick > 2 * HEARTBEAT_S:
+            self._heard = {
+                node: _Heard(heard.member, now) for node, heard in self._heard.items()
+            }
+
+    def _write_record(self, now):
+        members = tuple(h.member for _, h in sorted(self._heard.items()))
+        unchanged = members == self._record.members and self._record.term == self.term
+        if unchanged or self._writing or not self._record_known:
+            return []
+        if now < self._write_at:
+            return []
+        self._writing = True
+        record = CellRecord(self.cell, self.term, self._record.generation + 1, members)
+        return [WriteRecord(record, self._record_version)]
+
+    def _switch_following(self):
+        if self._following == self.leads:
+            return []
+        self._following = self.leads
+        return [FollowStore(self._following)]
--- /dev/null
+++ b/src/ryesaddle/internal/membership/snapshot.py
@@ -0,0 +1,125 @@
+"""The shared state that each process holds a replica of."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+import xxhash
+
+from ryesaddle.internal.config.configuration import Configuration
+from ryesaddle.internal.config.folder import merge
+from ryesaddle.internal.routing.member import Member
+from ryesaddle.internal.routing.view import ServiceView
+
+
+class CellRecord(msgspec.Struct, frozen=True):
+    """The members that one cell has announced.
+
+    Attributes
+    ----------
+    cell : str
+        Name of the cell.
+    term : int
+        Term of the leader that wrote the record.
+    generation : int
+        Grows with each write.
+    members : tuple of Member
+        Members believed to be running.
+    """
+
+    cell: str
+    term: int = 0
+    generation: int = 0
+    members: tuple[Member, ...] = ()
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """The configuration files and the records of all cells.
+
+    Snapshots form a join semilattice: `join` keeps the record of the higher
+    generation, so replicas that exchange snapshots in any order, any number of
+    times, agree, and none ever returns to an older configuration.
+    Reference: Shapiro et al., "Conflict-free replicated data types", 2011.
+
+    Attributes
+    ----------
+    generation : int
+        Generation of the configuration.
+    files : dict of str to str
+        Configuration files by name.
+    cells : dict of str to CellRecord
+        Cell records by cell name.
+    """
+
+    generation: int = 0
+    files: dict[str, str] = {}
+    cells: dict[str, CellRecord] = {}
+
+    def join(self, other):
+        """Return the least snapshot that includes both."""
+        newer = other if other.generation > self.generation else self
+        cells = dict(self.cells)
+        for name, record in other.cells.items():
+            held = cells.get(name)
+            if held is None or record.generation > held.generation:
+                cells[name] = record
+        return Snapshot(newer.generation, newer.files, cells)
+
+    def digest(self):
+        """Return an integer that differs between different snapshots."""
+        parts = [f"config={self.generation}"]
+        parts += [f"{c.cell}={c.generation}" for _, c in sorted(self.cells.items())]
+        return xxhash.xxh3_64_intdigest("|".join(parts).encode())
+
+    def members(self):
+        """Yield every announced `Member`."""
+        for _, record in sorted(self.cells.items()):
+            yield from record.members
+
+
+@dataclass
+class Replica:
+    """The snapshot of one process and what follows from it.
+
+    Attributes
+    ----------
+    snapshot : Snapshot
+        Join of all snapshots seen.
+    cfg : Configuration
+        Merged configuration of the snapshot.
+    version : int
+        Counts the changes that this process has seen.
+    views : dict of str to ServiceView
+        View of each service that has members.
+    """
+
+    snapshot: Snapshot = field(default_factory=Snapshot)
+    cfg: Configuration = field(default_factory=Configuration)
+    version: int = 0
+    views: dict[str, ServiceView] = field(default_factory=dict)
+
+    def absorb(self, other):
+        """Join ``other`` into the replica; return whether anything changed."""
+        joined = self.snapshot.join(other)
+        if joined == self.snapshot:
+            return False
+        if joined.generation != self.snapshot.generation:
+            self.cfg = merge(joined.files, joined.generation)
+        self.snapshot = joined
+        self.version += 1
+        self.views = self._views()
+        return True
+
+    def _views(self):
+        grouped = {}
+        for member in self.snapshot.members():
+            if member.service:
+                grouped.setdefault(member.service, []).append(member)
+        return {name: self._view(name, grouped[name]) for name in grouped}
+
+    def _view(self, service, members):
+        closed = frozenset(
+            m.node
+            for m in members
+            if not self.cfg.admits(service, m.target, m.data_centre)
+        )
+        return ServiceView(service, self.version, tuple(members), closed)
--- /dev/null
+++ b/src/ryesaddle/internal/quic/__init__.py
@@ -0,0 +1,1 @@
+"""QUIC and HTTP/3 termination by aioquic, without sockets."""
--- /dev/null
+++ b/src/ryesaddle/internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which agent a datagram belongs to."""
--- /dev/null
+++ b/src/ryesaddle/internal/routing/dispatcher.py
@@ -0,0 +1,126 @@
+"""The balancer's decision: to which agent a caller's datagram goes first."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from ryesaddle.internal.routing.member import Member
+from ryesaddle.internal.routing.rendezvous import flow_key, rank
+
+MAX_FLOWS = 500_000
+PROBE_AFTER_S = 0.2
+SUSPECT_AFTER_S = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Send the datagram to ``member``; ``reason`` goes to the decision log."""
+
+    member: Member
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Discard:
+    """Drop the datagram; the caller's transport retries."""
+
+    reason: str
+
+
+class Dispatcher:
+    """Chooses the first agent for each datagram of a caller.
+
+    All of its state is a cache: a balancer that starts empty reaches the same
+    owners, because agents pass on what is not theirs.
+
+    Parameters
+    ----------
+    max_flows : int
+        How many flows to remember; the least recently used go first.
+    """
+
+    def __init__(self, max_flows=MAX_FLOWS):
+        self._max_flows = max_flows
+        self._owners = OrderedDict()
+        self._silent_since = {}
+
+    def __len__(self):
+        return len(self._owners)
+
+    def route(self, service, caller, opens, view, now):
+        """Return a `Dispatch` or `Discard` for one datagram.
+
+        Parameters
+        ----------
+        service : str
+            Service whose address received the datagram.
+        caller : Address
+            Source of the datagram.
+        opens : bool
+            Whether the datagram may open a flow (a QUIC long header, RFC 8999).
+        view : ServiceView or None
+            The members known now; None if the service is unknown.
+        now : float
+            Seconds on a monotonic clock.
+        """
+        if view is None or not view.members:
+            return Discard("no-members")
+        owner = self._owner(service, caller, view)
+        if owner is not None and not (opens and self.is_suspect(owner, now)):
+            self._expect(owner, now)
+            return Dispatch(owner, "cached")
+        return self._ranked(service, caller, opens, view, now)
+
+    def answered(self, service, caller, node, incarnation, now):
+        """Remember that ``node`` owns the flow; return whether that is news."""
+        self.heard(node)
+        key = (service, caller)
+        news = self._owners.get(key) != (node, incarnation)
+        self._owners[key] = (node, incarnation)
+        self._owners.move_to_end(key)
+        if len(self._owners) > self._max_flows:
+            self._owners.popitem(last=False)
+        return news
+
+    def heard(self, node):
+        """Note that ``node`` is alive."""
+        self._silent_since.pop(node, None)
+
+    def to_probe(self, now):
+        """Return the nodes that owe an answer for long enough to be probed."""
+        return [
+            node
+            for node, since in self._silent_since.items()
+            if now - since >= PROBE_AFTER_S
+        ]
+
+    def is_suspect(self, member, now):
+        """Whether ``member`` has left datagrams and probes unanswered."""
+        since = self._silent_since.get(member.node)
+        return since is not None and now - since >= SUSPECT_AFTER_S
+
+    def forget(self, nodes):
+        """Drop the liveness records of all but ``nodes``."""
+        self._silent_since = {
+            node: since for node, since in self._silent_since.items() if node in nodes
+        }
+
+    def _owner(self, service, caller, view):
+        known = self._owners.get((service, caller))
+        if known is None:
+            return None
+        member = view.by_node.get(known[0])
+        if member is None or member.identity != known:
+            return None
+        return member
+
+    def _ranked(self, service, caller, opens, view, now):
+        ranked = rank(flow_key(service, caller), view.members)
+        alive = [m for m in ranked if not self.is_suspect(m, now)] or ranked
+        chosen = alive[0]
+        if opens:
+            chosen = next((m for m in alive if view.is_open(m)), chosen)
+        self._expect(chosen, now)
+        return Dispatch(chosen, "ranked")
+
+    def _expect(self, member, now):
+        self._silent_since.setdefault(member.node, now)
--- /dev/null
+++ b/src/ryesaddle/internal/routing/owner.py
@@ -0,0 +1,247 @@
+"""The agent's decision: keep a datagram, pass it on, refuse it, or stay silent."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from ryesaddle.internal.routing.member import Member
+from ryesaddle.internal.routing.rendezvous import flow_key, rank
+from ryesaddle.internal.wire.message import NO_OFFER, Forward
+
+MAX_OFFERS = 10_000
+MAX_VISITED = 16
+INTRODUCTION_TTL_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """What an agent knows about one forwarded datagram.
+
+    Attributes
+    ----------
+    forward : Forward
+        The datagram and its envelope.
+    owned : bool
+        Whether its connection id belongs to a flow of this agent.
+    opens : bool
+        Whether it is a QUIC Initial packet of an unknown flow.
+    flow_id : bytes
+        Its destination connection id.
+    """
+
+    forward: Forward
+    owned: bool
+    opens: bool
+    flow_id: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Accept:
+    """The datagram belongs to this agent."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class PassOn:
+    """Send the datagram to ``member`` with these envelope fields."""
+
+    member: Member
+    reason: str
+    visited: tuple = ()
+    pending: tuple = ()
+    offer_load: int = NO_OFFER
+    returned: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Nobody owns the flow: answer with a stateless reset."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Silence:
+    """Drop the datagram; whether somebody owns the flow is not known."""
+
+    reason: str
+
+
+class Owner:
+    """Routes datagrams between the agents of one service.
+
+    Parameters
+    ----------
+    me : Member
+        This agent.
+    """
+
+    def __init__(self, me):
+        self.me = me
+        self.view = None
+        self.draining = False
+        self._acks = set()
+        self._introduced = {}
+        self._offered = OrderedDict()
+
+    def update(self, view):
+        """Take a newer view of the service; an older one is ignored."""
+        if self.view is None or view.version > self.view.version:
+            self.view = view
+            known = {m.identity for m in view.members}
+            self._introduced = {
+                identity: entry
+                for identity, entry in self._introduced.items()
+                if identity not in known
+            }
+
+    def introduced(self, member, now):
+        """Note a member that asks to be known before it takes flows."""
+        if member.service != self.me.service or member.node == self.me.node:
+            return False
+        if member.identity not in {m.identity for m in self._view_members()}:
+            self._introduced[member.identity] = (member, now)
+        return True
+
+    def acknowledged(self, identity):
+        """Note that the member ``identity`` knows this agent."""
+        self._acks.add(identity)
+
+    def unacknowledged(self):
+        """Return the members that have yet to confirm that they know this agent."""
+        return [m for m in self._others() if m.identity not in self._acks]
+
+    def has_joined(self):
+        """Whether every other member can find the flows of this agent.
+
+        It must see itself in the view and be known to every other member of
+        it. Views reach agents in the order of the store, so of two agents that
+        join at once the later one sees the earlier one and waits for its
+        confirmation; hence no member can take the flow of another for unowned.
+        """
+        view = self.view
+        if view is None:
+            return False
+        mine = view.by_node.get(self.me.node)
+        if mine is None or mine.incarnation != self.me.incarnation:
+            return False
+        return not self.unacknowledged()
+
+    def is_open(self):
+        """Whether this agent may take new flows."""
+        if self.draining or not self.has_joined():
+            return False
+        return self.view.is_open(self.view.by_node[self.me.node])
+
+    def decide(self, arrival, load, now):
+        """Return what to do with ``arrival``.
+
+        Parameters
+        ----------
+        arrival : Arrival
+            The datagram.
+        load : int
+            Requests in flight and waiting at this agent.
+        now : float
+            Seconds on a monotonic clock.
+
+        Returns
+        -------
+        Accept, PassOn, Refuse or Silence
+        """
+        fwd = arrival.forward
+        if fwd.service != self.me.service or not self._is_mine(fwd):
+            return Silence("misdirected")
+        if arrival.owned:
+            return Accept("owned")
+        if arrival.opens:
+            return self._open(arrival, load)
+        return self._seek(fwd, now)
+
+    def _is_mine(self, fwd):
+        return (fwd.agent, fwd.incarnation) == self.me.identity
+
+    def _open(self, arrival, load):
+        fwd = arrival.forward
+        if not self.is_open():
+            return self._hand_on(fwd)
+        if fwd.returned or fwd.visited:
+            return Accept("returned" if fwd.returned else "handed-on")
+        if fwd.offer_load != NO_OFFER:
+            return self._answer_offer(fwd, load)
+        other = self._second_choice(fwd)
+        if load == 0 or other is None or arrival.flow_id in self._offered:
+            return Accept("first-choice")
+        self._remember_offer(arrival.flow_id)
+        return PassOn(
+            other, "offer", pending=(self.me.node,), offer_load=min(load, 2**31 - 1)
+        )
+
+    def _answer_offer(self, fwd, load):
+        if load < fwd.offer_load:
+            return Accept("less-loaded")
+        offerer = self._known().get(fwd.pending[0]) if fwd.pending else None
+        if offerer is None:
+            return Accept("offerer-unknown")
+        return PassOn(offerer, "declined", returned=True)
+
+    def _hand_on(self, fwd):
+        visited = (*fwd.visited, self.me.node)
+        ranked = rank(flow_key(fwd.service, fwd.caller), self._others())
+        for member in ranked:
+            if self.view.is_open(member) and member.node not in visited:
+                return PassOn(member, "not-open-here", visited=visited)
+        if not self.has_joined():
+            return Silence("joining")
+        # With no member left to take it, the flow is accepted only so that its
+        # requests can be answered "not run" at once.
+        return Accept("no-open-member")
+
+    def _seek(self, fwd, now):
+        if self.view is None:
+            return Silence("no-view")
+        self._expire(now)
+        visited = {*fwd.visited, self.me.node}
+        known = self._known()
+        pending = ({*fwd.pending} | set(known)) - visited
+        if not pending:
+            return Refuse("unowned")
+        if len(visited) >= MAX_VISITED:
+            return Silence("too-many-hops")
+        reachable = [known[node] for node in pending if node in known]
+        if not reachable:
+            return Silence("member-unknown")
+        chosen = rank(flow_key(fwd.service, fwd.caller), reachable)[0]
+        return PassOn(
+            chosen,
+            "not-owned",
+            visited=tuple(sorted(visited)),
+            pending=tuple(sorted(pending - {chosen.node})),
+        )
+
+    def _second_choice(self, fwd):
+        ranked = rank(flow_key(fwd.service, fwd.caller), self._others())
+        return next((m for m in ranked if self.view.is_open(m)), None)
+
+    def _remember_offer(self, flow_id):
+        self._offered[flow_id] = None
+        if len(self._offered) > MAX_OFFERS:
+            self._offered.popitem(last=False)
+
+    def _view_members(self):
+        return self.view.members if self.view is not None else ()
+
+    def _others(self):
+        return [m for m in self._view_members() if m.node != self.me.node]
+
+    def _known(self):
+        known = {member.node: member for member, _ in self._introduced.values()}
+        known.update({m.node: m for m in self._others()})
+        return known
+
+    def _expire(self, now):
+        self._introduced = {
+            identity: (member, since)
+            for identity, (member, since) in self._introduced.items()
+            if now - since < INTRODUCTION_TTL_S
+        }
--- /dev/null
+++ b/src/ryesaddle/internal/routing/rendezvous.py
@@ -0,0 +1,45 @@
+"""Rendezvous hashing of flows over agents."""
+
+from functools import lru_cache
+
+import xxhash
+
+
+def flow_key(service, caller):
+    """Return the bytes that identify a flow for ranking.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    caller : Address
+        Source address of the caller.
+    """
+    return f"{service}|{caller.host}|{caller.port}".encode()
+
+
+def rank(key, members):
+    """Return ``members`` ordered by their score for ``key``, highest first.
+
+    Two processes with different views agree on the order of the members that
+    both know, so that views that differ by one member move few flows.
+    Reference: Thaler and Ravishankar, "Using name-based mappings to increase
+    hit rates", IEEE/ACM Transactions on Networking, 1998.
+
+    Parameters
+    ----------
+    key : bytes
+        From `flow_key`, or any other key.
+    members : iterable of Member
+        The members to order.
+    """
+    return sorted(members, key=lambda member: -_score(key, member.node))
+
+
+def _score(key, node):
+    return xxhash.xxh3_64_intdigest(key, seed=_seed(node))
+
+
+@lru_cache(maxsize=65_536)
+def _seed(node):
+    return xxhash.xxh3_64_intdigest(node.encode())
--- /dev/null
+++ b/src/ryesaddle/internal/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object API."""
--- /dev/null
+++ b/src/ryesaddle/internal/store/mirror.py
@@ -0,0 +1,70 @@
+"""Keeps a local copy of all objects of one kind."""
+
+import asyncio
+import logging
+
+import msgspec
+
+from ryesaddle.errors import ConflictError, GoneError, StoreUnavailableError
+from ryesaddle.internal.store.object import StoreObject
+from ryesaddle.internal.store.pacing import Backoff
+
+log = logging.getLogger(__name__)
+
+
+class Mirror:
+    """Lists a kind, then follows its watch, resuming after every failure.
+
+    Parameters
+    ----------
+    client : StoreClient
+        Client to use.
+    kind : str
+        Plural resource name.
+    on_change : callable
+        Called with a `StoreObject` for each object listed, added or modified.
+    rng : random.Random
+        Source of jitter.
+    """
+
+    def __init__(self, client, kind, on_change, rng, backoff=Backoff()):  # noqa: B008
+        self._client = client
+        self._kind = kind
+        self._on_change = on_change
+        self._rng = rng
+        self._backoff = backoff
+        self._version = None
+        self.synced = asyncio.Event()
+
+    async def run(self):
+        """Follow the kind until cancelled."""
+        attempt = 0
+        while True:
+            try:
+                if self._version is None:
+                    await self._list()
+                await self._follow()
+                attempt = 0
+            except GoneError:
+                self._version = None
+            except (StoreUnavailableError, ConflictError) as exc:
+                log.warning(
+                    "watch-broken",
+                    extra={"kv": {"kind": self._kind, "error": str(exc)}},
+                )
+                attempt += 1
+            await asyncio.sleep(self._backoff.delay(attempt, self._rng))
+
+    async def _list(self):
+        items, version = await self._client.list(self._kind)
+        for item in items:
+            self._on_change(item)
+        self._version = version
+        self.synced.set()
+
+    async def _follow(self):
+        async for event in self._client.watch(self._kind, self._version):
+            obj = msgspec.convert(event.object, StoreObject)
+            if event.type in ("ADDED", "MODIFIED"):
+                self._on_change(obj)
+            self._version = obj.metadata.resource_version
--- /dev/null
+++ b/src/ryesaddle/internal/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the processes of the system."""
--- /dev/null
+++ b/tests/support/target.py
@@ -0,0 +1,94 @@
+"""A stand-in for a target: two slots and a record of what it executed."""
+
+import asyncio
+import hashlib
+import json
+import sys
+
+from aiohttp import web
+
+CHUNK = hashlib.sha256(b"letter pack").digest() * 2_048
+PACK_BYTES = 8 * 1_048_576
+
+
+def pack(size):
+    """Return the bytes of a letter pack."""
+    return (CHUNK * (size // len(CHUNK) + 1))[:size]
+
+
+class Target:
+    """Answers status checks, submissions and pack downloads."""
+
+    def __init__(self, name, slots=2, work_s=0.01):
+        self.name = name
+        self.slots = asyncio.Semaphore(slots)
+        self.work_s = work_s
+        self.executed = []
+        self.app = web.Application(client_max_size=2**24)
+        self.app.router.add_get("/status/{case}", self._status)
+        self.app.router.add_post("/reply", self._reply)
+        self.app.router.add_get("/pack", self._pack)
+        self.app.router.add_get("/slow/{seconds}", self._slow)
+        self.app.router.add_get("/cut", self._cut)
+        self.app.router.add_get("/executed", self._executed)
+
+    async def _work(self, req):
+        async with self.slots:
+            self.executed.append(
+                {
+                    "method": req.method,
+                    "path": req.path,
+                    "request_id": req.headers.get("X-Request-ID", ""),
+                    "key": req.headers.get("Idempotency-Key", "").strip('"'),
+                }
+            )
+            await asyncio.sleep(self.work_s)
+
+    async def _status(self, req):
+        await self._work(req)
+        return web.json_response({"case": req.match_info["case"], "by": self.name})
+
+    async def _reply(self, req):
+        body = await req.read()
+        await self._work(req)
+        digest = hashlib.sha256(body).hexdigest()
+        return web.json_response({"received": digest, "by": self.name}, status=201)
+
+    async def _pack(self, req):
+        await self._work(req)
+        size = int(req.query.get("bytes", PACK_BYTES))
+        reply = web.StreamResponse(headers={"Content-Length": str(size)})
+        await reply.prepare(req)
+        left = size
+        while left > 0:
+            await reply.write(CHUNK[:left])
+            left -= len(CHUNK)
+        return reply
+
+    async def _slow(self, req):
+        await self._work(req)
+        await asyncio.sleep(float(req.match_info["seconds"]))
+        return web.json_response({"by": self.name})
+
+    async def _cut(self, req):
+        reply = web.StreamResponse(headers={"Content-Length": "100000"})
+        await reply.prepare(req)
+        await reply.write(CHUNK[:50_000])
+        req.transport.abort()
+        return reply
+
+    async def _executed(self, req):
+        return web.json_response(self.executed)
+
+
+async def main(settings):
+    """Serve ``{"name", "listen", "work_s"}`` until ended."""
+    target = Target(settings["name"], work_s=settings.get("work_s", 0.01))
+    runner = web.AppRunner(target.app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, *settings["listen"]).start()
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(json.loads(sys.argv[1])))
