Count test outcomes in the nose2 plugin

Cause: nose2's result object has no counters, so the runner ended with an AttributeError after the tests. Ruled out: unittest's own runner, since the house style names nose2.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -36,11 +36,10 @@
 def main():
     """Run the tests and return the exit code."""
     argv = ["nose2", "-s", "tests", "-t", ".", *sys.argv[1:]]
-    program = PluggableTestProgram(
+    PluggableTestProgram(
         module=None, argv=argv, exit=False, plugins=["tests.support.outcomes"]
     )
-    count = program.result.testsRun
-    failed = Outcomes.failed
+    count, failed = Outcomes.count, Outcomes.failed
     red = known_red()
     new = [name for name in failed if name not in red]
     for name in sorted(red):
--- a/tests/support/outcomes.py
+++ b/tests/support/outcomes.py
@@ -4,15 +4,14 @@
 
 
 class Outcomes(events.Plugin):
-    """Collects the names of failed tests."""
+    """Counts tests and collects the names of failed ones."""
 
     configSection = "outcomes"
     alwaysOn = True
     failed = []
-    skipped = []
+    count = 0
 
     def testOutcome(self, event):
-        if event.outcome == result.SKIP:
-            self.skipped.append(event.test.id())
-        elif event.outcome in (result.FAIL, result.ERROR) and not event.expected:
+        Outcomes.count += 1
+        if event.outcome in (result.FAIL, result.ERROR) and not event.expected:
             self.failed.append(event.test.id())
