Run keyed submissions at most once in the agent

Cause: the claims were proved but no request used them. A keyed request claims its key before it waits for a slot, so a refusal releases the claim and 'not run' holds for the key; claiming after the queue was ruled out, because an attempt refused there could be told 'not run' while an earlier one still waits.

--- a/src/ryesaddle/daemons/agent.py
+++ b/src/ryesaddle/daemons/agent.py
@@ -14,6 +14,7 @@
 )
 
 from ryesaddle.daemons.certificate import CertificateWatch
+from ryesaddle.daemons.claims import Claims
 from ryesaddle.daemons.control import json_answer
 from ryesaddle.daemons.exchange import Exchange
 from ryesaddle.daemons.gate import Gate
@@ -21,6 +22,7 @@
 from ryesaddle.daemons.node import compose_node, stop_event
 from ryesaddle.daemons.request import decode_request
 from ryesaddle.daemons.upstream import Upstream
+from ryesaddle.daemons.views import ClaimViews
 from ryesaddle.internal.admission.admission import Admission
 from ryesaddle.internal.config.model import Limits
 from ryesaddle.internal.journal.journal import Journal
@@ -61,10 +63,13 @@
         Admission to the target.
     upstream : Upstream
         HTTP/1.1 to the target.
+    claims : Claims
+        Idempotency keys.
     """
 
-    def __init__(self, node, endpoint, owner, gate, upstream):
+    def __init__(self, node, endpoint, owner, gate, upstream, claims):
         self.node = node
+        self.claims = claims
         self.gate = gate
         self.upstream = upstream
         self.journal = Journal()
@@ -125,7 +130,7 @@
         )
         deadline = self._now() + limit_s
         await asyncio.sleep(STOP_LINGER_S)
-        while self._tasks and self._now() < deadline:
+        while self._is_busy() and self._now() < deadline:
             await asyncio.sleep(STOP_POLL_S)
         left = len(self._tasks)
         for flow in self._endpoint.flows:
@@ -133,6 +138,14 @@
             self.transmit(flow)
         return left
 
+    def _is_busy(self):
+        # A member of the claim view stays until its claims are handed over, if
+        # there is another agent to take them.
+        view = self._owner.view
+        alone = view is None or all(m.draining for m in view.members)
+        holds = self.claims.acceptor.is_active(self._now()) and not alone
+        return bool(self._tasks) or holds
+
     def close(self):
         """Stop all timers and tasks."""
         for timer in self._timers.values():
@@ -283,7 +296,9 @@
         view = replica.views.get(self.node.me.service)
         if view is not None:
             self._owner.update(view)
-        self.gate.admission.limits = replica.cfg.limits(self.node.me.service)
+        limits = replica.cfg.limits(self.node.me.service)
+        self.gate.admission.limits = limits
+        self.claims.acceptor.key_ttl_s = limits.key_ttl_s
 
     def _log_decision(self, fwd, decision):
         event(
@@ -308,6 +323,7 @@
                 "target": self.node.me.target,
                 "config": replica.snapshot.generation,
                 "open": self._owner.is_open(),
+                "holds_claims": self.claims.acceptor.is_active(self._now()),
                 "draining": not self.takes_new_work(),
                 "flows": len(self._endpoint.flows),
                 "running": admission.running,
@@ -330,7 +346,10 @@
     endpoint = Endpoint(cfg, ResetTokens(node.peer_key))
     gate = Gate(Admission(Limits(), now))
     upstream = Upstream(settings.target_address)
-    agent = Agent(node, endpoint, Owner(node.me), gate, upstream)
+    owner = Owner(node.me)
+    claims = Claims(node, owner, Limits().key_ttl_s)
+    views = ClaimViews(node, owner, claims)
+    agent = Agent(node, endpoint, owner, gate, upstream, claims)
     certificates = CertificateWatch(settings, endpoint)
     stop = stop_event()
     try:
@@ -340,6 +359,8 @@
             node.metrics.run(),
             gate.run(),
             agent.introduce(),
+            claims.run(),
+            views.run(),
             certificates.run(),
         ):
             event(log, "started", node=node.me.node, role="agent")
--- a/src/ryesaddle/daemons/control.py
+++ b/src/ryesaddle/daemons/control.py
@@ -10,6 +10,7 @@
 from ryesaddle.errors import SettingsError
 
 FETCH_TIMEOUT_S = 3.0
+MAX_BODY_BYTES = 64 * 1_048_576
 
 
 def bearer(peer_key):
@@ -39,7 +40,9 @@
     def __init__(self, address, authorization):
         self._address = address
         self._authorization = authorization
-        self.app = web.Application(middlewares=[self._authorize])
+        self.app = web.Application(
+            middlewares=[self._authorize], client_max_size=MAX_BODY_BYTES
+        )
         self._runner = None
 
     def route(self, method, path, handler):
@@ -89,11 +92,19 @@
 
     async def get(self, address, path, timeout_s=FETCH_TIMEOUT_S):
         """Return the body of an answer as bytes, or None if there is none."""
+        return await self._call("GET", address, path, None, timeout_s)
+
+    async def post(self, address, path, value, timeout_s=FETCH_TIMEOUT_S):
+        """Send a msgspec-encodable value; return the body answered, or None."""
+        data = msgspec.json.encode(value)
+        return await self._call("POST", address, path, data, timeout_s)
+
+    async def _call(self, method, address, path, data, timeout_s):
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         url = f"http://{address}{path}"
         try:
-            async with self._session.get(
-                url, headers=self._headers, timeout=timeout
+            async with self._session.request(
+                method, url, headers=self._headers, data=data, timeout=timeout
             ) as reply:
                 return await reply.read() if reply.status == 200 else None
         except (aiohttp.ClientError, TimeoutError):
--- a/src/ryesaddle/daemons/exchange.py
+++ b/src/ryesaddle/daemons/exchange.py
@@ -8,9 +8,12 @@
 import msgspec
 from aioquic.h3.connection import ErrorCode
 
+from ryesaddle.daemons.claims import Acquired, HeldElsewhere, Unavailable
 from ryesaddle.daemons.request import MAX_BODY_BYTES
 from ryesaddle.daemons.upstream import end_to_end
 from ryesaddle.internal.admission.admission import Decline
+from ryesaddle.internal.claims.answer import MAX_STORED_BYTES, StoredAnswer
+from ryesaddle.internal.claims.claimant import Fate
 from ryesaddle.internal.journal.entry import JournalEntry
 from ryesaddle.internal.journal.outcome import Outcome
 from ryesaddle.internal.log import event
@@ -18,6 +21,7 @@
 log = logging.getLogger(__name__)
 
 CHUNK_BYTES = 64 * 1024
+CLAIM_RETRY_AFTER_S = 1
 PROXY_NAME = "ryesaddle"
 OUTCOME_HEADER = "ryesaddle-outcome"
 
@@ -48,6 +52,8 @@
         self._body = bytearray()
         self._body_done = asyncio.get_running_loop().create_future()
         self._answering = False
+        self._claim = None
+        self._stored = None
         self._deadline = asyncio.get_running_loop().time() + req.timeout_s
         me = agent.node.me
         self._entry = JournalEntry(
@@ -88,6 +94,7 @@
             self._end(self._fate(), 0, "caller-gone")
             raise
         except aiohttp.ClientConnectorError:
+            # The claim, if there is one, was withdrawn on the way here.
             self._not_run("target-unreachable", self._agent.gate.retry_after())
         except (aiohttp.ClientError, OSError) as exc:
             self._give_up(f"target-failed:{type(exc).__name__}", 502)
@@ -104,19 +111,68 @@
         if not self._agent.takes_new_work():
             self._not_run("draining", 1)
             return
+        if not self._req.key:
+            await self._admit()
+            return
+        found = await self._agent.claims.acquire(self._req.key, self._deadline)
+        match found:
+            case Acquired(claim=claim):
+                await self._run_claimed(claim)
+            case HeldElsewhere():
+                self._repeat(found)
+            case Unavailable(reason=reason):
+                self._not_run(reason, CLAIM_RETRY_AFTER_S)
+
+    async def _run_claimed(self, claim):
+        self._claim = claim
+        claimant = self._agent.claims.claimant
+        try:
+            await self._admit()
+        except aiohttp.ClientConnectorError:
+            self._agent.claims.withdraw(claim)
+            raise
+        finally:
+            # Only one of the two takes effect: a dispatched claim cannot be given
+            # up, and one that was not dispatched cannot be finished.
+            claimant.finish(claim, self._stored)
+            self._agent.claims.give_up(claim)
+
+    async def _admit(self):
         decision = await self._agent.gate.enter(self._attempt, self._deadline)
         if isinstance(decision, Decline):
             self._not_run(decision.reason, decision.retry_after_s)
             return
         measured = False
         try:
-            await self._dispatch()
-            measured = True
+            measured = await self._dispatch()
         finally:
             self._agent.gate.leave(self._attempt, measured)
 
+    def _repeat(self, found):
+        """Answer with what became of the attempt that holds the key."""
+        report = found.report
+        where = f"{found.holder.node}/{found.holder.sequence}"
+        if report.fate is Fate.FINISHED and report.answer is not None:
+            self._repeat_answer(report.answer, where)
+        else:
+            self._answer_error(504, Outcome.UNKNOWN, f"held-by:{where}")
+
+    def _repeat_answer(self, answer, where):
+        if answer.body is None:
+            self._answer_error(409, Outcome.RAN, f"ran-by:{where},answer-not-kept")
+            return
+        self._end(Outcome.RAN, answer.status, f"ran-by:{where}")
+        headers = self._answer_headers(answer.status, answer.headers)
+        headers.append((b"content-length", str(len(answer.body)).encode()))
+        self._flow.send_headers(self._stream_id, headers)
+        self._flow.send_data(self._stream_id, answer.body, end=True)
+        self._agent.transmit(self._flow)
+
     async def _dispatch(self):
         req = self._req
+        if self._claim and not self._agent.claims.claimant.take(self._claim):
+            self._not_run("claim-released", CLAIM_RETRY_AFTER_S)
+            return False
         self._note(dispatched_at=time.time())
         self._log("place", reason="slot-free")
         headers = end_to_end(req.headers)
@@ -124,24 +180,31 @@
             req.method, req.path, headers, bytes(self._body), req.is_safe
         ) as reply:
             self._answering = True
-            self._flow.send_headers(self._stream_id, self._answer_headers(reply))
+            fields = tuple(end_to_end(reply.headers.items()))
+            headers = self._answer_headers(reply.status, fields)
+            if "Content-Length" in reply.headers:
+                length = reply.headers["Content-Length"]
+                headers.append((b"content-length", length.encode()))
+            self._flow.send_headers(self._stream_id, headers)
+            kept = bytearray()
             async for chunk in reply.content.iter_chunked(CHUNK_BYTES):
+                if self._claim and len(kept) <= MAX_STORED_BYTES:
+                    kept += chunk
                 self._flow.send_data(self._stream_id, chunk)
                 self._agent.transmit(self._flow)
                 if not await self._flow.writable(self._stream_id):
                     raise aiohttp.ClientError("caller is gone")
+            if self._claim:
+                body = bytes(kept) if len(kept) <= MAX_STORED_BYTES else None
+                self._stored = StoredAnswer(reply.status, fields, body)
             self._flow.send_data(self._stream_id, b"", end=True)
             self._agent.transmit(self._flow)
             self._end(Outcome.RAN, reply.status, "answered")
+        return True
 
-    def _answer_headers(self, reply):
-        fields = end_to_end(reply.headers.items())
-        headers = [(b":status", str(reply.status).encode())]
+    def _answer_headers(self, status, fields):
+        headers = [(b":status", str(status).encode())]
         headers += [(k.lower().encode(), v.encode("latin-1")) for k, v in fields]
-        if "Content-Length" in reply.headers:
-            headers.append(
-                (b"content-length", reply.headers["Content-Length"].encode())
-            )
         headers.append((b"x-request-id", self._req.request_id.encode()))
         headers.append((OUTCOME_HEADER.encode(), Outcome.RAN.encode()))
         return headers
--- a/src/ryesaddle/internal/claims/claimant.py
+++ b/src/ryesaddle/internal/claims/claimant.py
@@ -117,6 +117,14 @@
             record.answer = answer
             self._end(claim, Fate.FINISHED)
 
+    def withdraw(self, claim):
+        """Release a dispatched claim that certainly never reached the target."""
+        record = self._open.get(claim)
+        if record is None or record.fate is not Fate.DISPATCHED:
+            return []
+        self._end(claim, Fate.RELEASED)
+        return record.proposal.release(chosen=True)
+
     def give_up(self, claim):
         """Make sure that the claim is never dispatched; return `Send` actions."""
         record = self._open.get(claim)
--- a/src/ryesaddle/internal/wire/control.py
+++ b/src/ryesaddle/internal/wire/control.py
@@ -4,6 +4,7 @@
 
 from ryesaddle.errors import WireError
 from ryesaddle.internal.address import Address
+from ryesaddle.internal.claims.message import ClaimMessage
 from ryesaddle.internal.routing.member import Member
 
 
@@ -58,7 +59,15 @@
 
 
 ControlMessage = (
-    Heartbeat | HeartbeatAck | Changed | Leave | Introduce | IntroduceAck | Ping | Pong
+    Heartbeat
+    | HeartbeatAck
+    | Changed
+    | Leave
+    | Introduce
+    | IntroduceAck
+    | Ping
+    | Pong
+    | ClaimMessage
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -246,7 +246,7 @@
         entries = [s for s in found.values() if s and s["role"] == "balancer"]
         return (
             len(agents) == sum(self.services.values())
-            and all(s["open"] for s in agents)
+            and all(s["open"] and s["holds_claims"] for s in agents)
             and len(entries) == self.balancers
             and all(len(s["services"]) == len(self.services) for s in entries)
         )
