Know a joining agent until the view that shows it arrives

Cause: an agent confirmed to a newcomer that it knows it, but forgot after 10 s. With a view that stays stale longer, a flow of the newcomer was refused as unowned. Ruled out: keeping the entry for good, which leaves flows of a newcomer that came and went unseen in doubt for ever. Now an introduction names the cell record in which the newcomer saw itself, and is kept until that record is in the view.

--- a/src/ryesaddle/daemons/agent.py
+++ b/src/ryesaddle/daemons/agent.py
@@ -107,10 +107,19 @@
     async def introduce(self):
         """Make this agent known to the others of its service, until cancelled."""
         while True:
-            for member in self._owner.unacknowledged():
-                self.node.peer.send_control(member.address, Introduce(self.node.me))
+            self._introduce_once()
             await asyncio.sleep(INTRODUCE_S)
 
+    def _introduce_once(self):
+        node = self.node
+        cell = node.settings.cell
+        record = node.membership.replica.snapshot.cells.get(cell)
+        if record is None or node.me.node not in {m.node for m in record.members}:
+            return
+        msg = Introduce(node.me, cell, record.generation)
+        for member in self._owner.unacknowledged():
+            node.peer.send_control(member.address, msg)
+
     async def drain(self, limit_s):
         """Take no new work and wait for requests in progress.
 
@@ -163,7 +172,7 @@
             return
         flow = self._endpoint.find(info.flow_id)
         arrival = Arrival(fwd, flow is not None, info.opens, info.flow_id)
-        decision = self._owner.decide(arrival, self.gate.admission.load, self._now())
+        decision = self._owner.decide(arrival, self.gate.admission.load)
         match decision:
             case Accept():
                 self._accept(flow, info, fwd, decision)
@@ -284,7 +293,7 @@
         self._pump(flow)
 
     def _on_introduce(self, datagram, body, addr):
-        if self._owner.introduced(body.member, self._now()):
+        if self._owner.introduced(body.member, body.cell, body.generation):
             me = self.node.me
             self.node.peer.send_control(addr, IntroduceAck(me.node, me.incarnation))
 
--- a/src/ryesaddle/internal/membership/snapshot.py
+++ b/src/ryesaddle/internal/membership/snapshot.py
@@ -122,4 +122,5 @@
             for m in members
             if not self.cfg.admits(service, m.target, m.data_centre)
         )
-        return ServiceView(service, self.version, tuple(members), closed)
+        generations = {c.cell: c.generation for c in self.snapshot.cells.values()}
+        return ServiceView(service, self.version, tuple(members), closed, generations)
--- a/src/ryesaddle/internal/routing/owner.py
+++ b/src/ryesaddle/internal/routing/owner.py
@@ -9,7 +9,6 @@
 
 MAX_OFFERS = 10_000
 MAX_VISITED = 16
-INTRODUCTION_TTL_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +66,13 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class _Introduction:
+    member: Member
+    cell: str
+    generation: int
+
+
 class Owner:
     """Routes datagrams between the agents of one service.
 
@@ -88,19 +94,36 @@
         """Take a newer view of the service; an older one is ignored."""
         if self.view is None or view.version > self.view.version:
             self.view = view
-            known = {m.identity for m in view.members}
             self._introduced = {
-                identity: entry
-                for identity, entry in self._introduced.items()
-                if identity not in known
+                node: entry
+                for node, entry in self._introduced.items()
+                if not self._has_seen(entry.cell, entry.generation)
             }
 
-    def introduced(self, member, now):
-        """Note a member that asks to be known before it takes flows."""
+    def introduced(self, member, cell, generation):
+        """Note a member that asks to be known before it takes flows.
+
+        It is known from then on until the view includes the cell record in which
+        it saw itself; from there the view tells whether it is still a member.
+
+        Parameters
+        ----------
+        member : Member
+            The member.
+        cell : str
+            Its cell.
+        generation : int
+            Generation of the cell record in which it saw itself.
+
+        Returns
+        -------
+        bool
+            Whether the introduction may be confirmed.
+        """
         if member.service != self.me.service or member.node == self.me.node:
             return False
-        if member.identity not in {m.identity for m in self._view_members()}:
-            self._introduced[member.identity] = (member, now)
+        if not self._has_seen(cell, generation):
+            self._introduced[member.node] = _Introduction(member, cell, generation)
         return True
 
     def acknowledged(self, identity):
@@ -133,7 +156,7 @@
             return False
         return self.view.is_open(self.view.by_node[self.me.node])
 
-    def decide(self, arrival, load, now):
+    def decide(self, arrival, load):
         """Return what to do with ``arrival``.
 
         Parameters
@@ -142,8 +165,6 @@
             The datagram.
         load : int
             Requests in flight and waiting at this agent.
-        now : float
-            Seconds on a monotonic clock.
 
         Returns
         -------
@@ -156,7 +177,7 @@
             return Accept("owned")
         if arrival.opens:
             return self._open(arrival, load)
-        return self._seek(fwd, now)
+        return self._seek(fwd)
 
     def _is_mine(self, fwd):
         return (fwd.agent, fwd.incarnation) == self.me.identity
@@ -197,10 +218,9 @@
         # requests can be answered "not run" at once.
         return Accept("no-open-member")
 
-    def _seek(self, fwd, now):
+    def _seek(self, fwd):
         if self.view is None:
             return Silence("no-view")
-        self._expire(now)
         visited = {*fwd.visited, self.me.node}
         known = self._known()
         pending = ({*fwd.pending} | set(known)) - visited
@@ -228,6 +248,11 @@
         if len(self._offered) > MAX_OFFERS:
             self._offered.popitem(last=False)
 
+    def _has_seen(self, cell, generation):
+        if self.view is None:
+            return False
+        return self.view.generations.get(cell, 0) >= generation
+
     def _view_members(self):
         return self.view.members if self.view is not None else ()
 
@@ -235,13 +260,6 @@
         return [m for m in self._view_members() if m.node != self.me.node]
 
     def _known(self):
-        known = {member.node: member for member, _ in self._introduced.values()}
+        known = {node: entry.member for node, entry in self._introduced.items()}
         known.update({m.node: m for m in self._others()})
         return known
-
-    def _expire(self, now):
-        self._introduced = {
-            identity: (member, since)
-            for identity, (member, since) in self._introduced.items()
-            if now - since < INTRODUCTION_TTL_S
-        }
--- a/src/ryesaddle/internal/routing/view.py
+++ b/src/ryesaddle/internal/routing/view.py
@@ -19,12 +19,15 @@
         All agents that may own flows, the draining ones included.
     closed : frozenset of str
         Nodes that must not be given new flows: draining, or excluded by a rule.
+    generations : dict of str to int
+        Generation of each cell record that the view was made from.
     """
 
     service: str
     version: int = 0
     members: tuple[Member, ...] = ()
     closed: frozenset = frozenset()
+    generations: dict = field(default_factory=dict)
     by_node: dict = field(init=False, repr=False, compare=False)
 
     def __post_init__(self):
--- a/src/ryesaddle/internal/wire/control.py
+++ b/src/ryesaddle/internal/wire/control.py
@@ -38,9 +38,21 @@
 
 
 class Introduce(msgspec.Struct, frozen=True, tag=True):
-    """A member asks to be known before it takes new flows."""
+    """A member asks to be known before it takes new flows.
+
+    Attributes
+    ----------
+    member : Member
+        The member.
+    cell : str
+        Its cell.
+    generation : int
+        Generation of the cell record in which it saw itself.
+    """
 
     member: Member
+    cell: str
+    generation: int
 
 
 class IntroduceAck(msgspec.Struct, frozen=True, tag=True):
