Make a leader yield to the record of a later one

Cause: a leader paused past its lease could be shown the record of its successor by its watch before its own renewal conflicted, and wrote its own term over it, since the version matched. Ruled out: fencing by the lease alone, because record and lease are two objects.

--- a/src/ryesaddle/internal/membership/cell.py
+++ b/src/ryesaddle/internal/membership/cell.py
@@ -158,10 +158,7 @@
     def lease_conflicted(self, now):
         """Note that another member wrote the lease first."""
         self._pending_lease = None
-        self._led_since = None
-        self._last_ack = None
-        self._lease_seen_at = None
-        self._next_read = now
+        self._step_down(now)
 
     def lease_write_failed(self, now):
         """Note that the store did not answer `WriteLease`.
@@ -174,6 +171,8 @@
 
     def record_read(self, record, version, now):
         """Take the cell record, as listed or watched in the store."""
+        if self._yields_to(record):
+            self._step_down(now)
         if record.generation < self._record.generation:
             return
         self._record, self._record_version = record, version
@@ -182,6 +181,11 @@
             for member in record.members:
                 self._heard.setdefault(member.node, _Heard(member, now))
 
+    def _yields_to(self, record):
+        # The store shows a record of a later leader before this one has noticed
+        # that its lease was taken over during a pause.
+        return self.leads and record.term > self.term
+
     def record_written(self, ok, now):
         """Take the result of `WriteRecord`."""
         self._writing = False
@@ -244,6 +248,12 @@
         }
         return actions + self._write_record(now)
 
+    def _step_down(self, now):
+        self._led_since = None
+        self._last_ack = None
+        self._lease_seen_at = None
+        self._next_read = now
+
     def _excuse_own_pause(self, now):
         # After a pause of this process, silence of the members proves nothing.
         if self._last_tick is not None and now - self._last_tick > 2 * HEARTBEAT_S:
--- /dev/null
+++ b/tests/membership/test_cell.py
@@ -0,0 +1,183 @@
+import unittest
+from unittest import mock
+
+from hypothesis import Phase, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from ryesaddle.internal.membership.cell import MEMBER_TIMEOUT_S, CellMember
+from tests.support.cells import CellWorld
+
+NODES = ("a", "b", "c")
+nodes = st.sampled_from(NODES)
+STEPS = settings(max_examples=300, stateful_step_count=50)
+MUTANT_STEPS = settings(
+    max_examples=1_500, stateful_step_count=50, phases=[Phase.generate]
+)
+
+
+class CellMachine(RuleBasedStateMachine):
+    """A cell whose store fails, whose leader pauses and whose messages are lost."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = CellWorld(NODES)
+        self.frozen = set()
+
+    @rule(seconds=st.sampled_from((0.1, 0.5, 1.0)), rounds=st.integers(1, 8))
+    def work(self, seconds, rounds):
+        for _ in range(rounds):
+            self.world.now += seconds
+            for node in sorted(set(NODES) - self.frozen):
+                self.world.tick(node)
+                self.world.watch(node)
+            for _ in range(len(self.world.messages)):
+                self.world.deliver(0)
+            self.answer_unfrozen()
+
+    def answer_unfrozen(self):
+        kept = [p for p in self.world.pending if p[0] in self.frozen]
+        self.world.pending = [p for p in self.world.pending if p[0] not in self.frozen]
+        for _ in range(len(self.world.pending)):
+            self.world.answer(0)
+        self.world.pending += kept
+
+    @rule(node=nodes)
+    def tick_one(self, node):
+        if node not in self.frozen:
+            self.world.tick(node)
+
+    @rule(node=nodes)
+    def watch(self, node):
+        if node not in self.frozen:
+            self.world.watch(node)
+
+    @precondition(lambda self: self.world.pending)
+    @rule(index=st.integers(0, 5), lose=st.booleans())
+    def answer_one(self, index, lose):
+        self.world.answer(index, lose)
+
+    @precondition(lambda self: self.world.messages)
+    @rule(index=st.integers(0, 9), keep=st.booleans())
+    def deliver_one(self, index, keep):
+        self.world.deliver(index, keep)
+
+    @rule()
+    def lose_messages(self):
+        self.world.messages.clear()
+
+    @rule(node=nodes)
+    def pause_or_resume(self, node):
+        self.frozen ^= {node}
+
+    @rule(seconds=st.sampled_from((2.0, 4.0, 30.0)))
+    def pass_time(self, seconds):
+        self.world.now += seconds
+
+    @rule()
+    def store_outage_or_return(self):
+        self.world.down = not self.world.down
+
+    @rule(node=nodes)
+    def crash(self, node):
+        self.world.restart(node)
+        self.frozen.discard(node)
+
+    @invariant()
+    def an_earlier_leader_never_replaces_the_record_of_a_later_one(self):
+        terms = [record.term for record in self.world.records]
+        assert terms == sorted(terms), terms
+
+    @invariant()
+    def each_record_has_a_higher_generation(self):
+        numbers = [record.generation for record in self.world.records]
+        assert numbers == sorted(set(numbers)), numbers
+
+    def teardown(self):
+        self.world.settle()
+        leaders = [n for n, cell in self.world.members.items() if cell.leads]
+        assert len(leaders) == 1, leaders
+        found = {m.identity for m in self.world.record.value.members}
+        assert found == {c.me.identity for c in self.world.members.values()}
+
+
+class CellTest(unittest.TestCase):
+    def test_a_cell_keeps_one_record_through_every_fault(self):
+        run_state_machine_as_test(CellMachine, settings=STEPS)
+
+    def test_the_proof_notices_a_leader_that_ignores_a_newer_term(self):
+        with (
+            mock.patch.object(CellMember, "_yields_to", lambda self, record: False),
+            self.assertRaises(AssertionError),
+        ):
+            machine = type("Mutant", (CellMachine,), {})
+            run_state_machine_as_test(machine, settings=MUTANT_STEPS)
+
+    def test_a_leader_paused_past_its_lease_yields_to_a_later_record(self):
+        world = CellWorld(NODES)
+        world.settle()
+        leader = next(n for n, cell in world.members.items() if cell.leads)
+        world.settle(12.0, [n for n in NODES if n != leader])
+        world.watch(leader)
+        world.tick(leader)
+        self.assertFalse(world.members[leader].leads)
+        world.settle()
+        terms = [record.term for record in world.records]
+        self.assertEqual(terms, sorted(terms))
+
+    def test_a_leader_that_was_paused_drops_no_member(self):
+        world = CellWorld(NODES)
+        world.settle()
+        leader = next(n for n, cell in world.members.items() if cell.leads)
+        before = world.record.value.members
+        world.now += MEMBER_TIMEOUT_S + 0.2
+        world.tick(leader)
+        world.watch(leader)
+        while world.pending:
+            world.answer(0)
+        self.assertEqual(world.record.value.members, before)
+
+    def test_a_member_that_crashed_is_dropped_within_four_seconds(self):
+        world = CellWorld(NODES)
+        world.settle()
+        leader = next(n for n, cell in world.members.items() if cell.leads)
+        dead = next(n for n in NODES if n != leader)
+        world.settle(4.0, [n for n in NODES if n != dead])
+        self.assertNotIn(dead, {m.node for m in world.record.value.members})
+
+    def test_a_dead_leader_is_replaced_and_nobody_else_is_dropped(self):
+        world = CellWorld(NODES)
+        world.settle()
+        leader = next(n for n, cell in world.members.items() if cell.leads)
+        rest = [n for n in NODES if n != leader]
+        world.settle(12.0, rest)
+        self.assertEqual({m.node for m in world.record.value.members}, set(rest))
+        dropped = [
+            set(rest) - {m.node for m in record.members}
+            for record in world.records
+            if record.term == world.lease.value.term
+        ]
+        self.assertFalse(any(dropped), dropped)
+
+    def test_a_leader_stays_during_an_outage_of_the_store(self):
+        world = CellWorld(NODES)
+        world.settle()
+        leader = next(n for n, cell in world.members.items() if cell.leads)
+        world.down = True
+        for _ in range(600):
+            world.now += 0.1
+            for node in NODES:
+                world.tick(node)
+            while world.messages or world.pending:
+                while world.messages:
+                    world.deliver(0)
+                while world.pending:
+                    world.answer(0)
+        self.assertTrue(world.members[leader].leads)
+        reads = sum(type(p[2]).__name__ == "ReadLease" for p in world.pending)
+        self.assertEqual(reads, 0)
