Send a submission once, and settle conflicts with an own write

Cause: aiohttp repeats GET, HEAD, PUT and DELETE by itself when a connection breaks. A PUT submission whose target died after running it was sent twice, and a conditional update whose answer was lost conflicted with itself. Ruled out: our own settling code, which was not reached (the client saw a plain 409).

Before: PUT and DELETE arrive twice at the target (UpstreamTest fails); a lost answer to an update raises ConflictError. After: both pass.

--- a/src/ryesaddle/daemons/agent.py
+++ b/src/ryesaddle/daemons/agent.py
@@ -24,6 +24,7 @@
 from ryesaddle.daemons.upstream import Upstream
 from ryesaddle.daemons.views import ClaimViews
 from ryesaddle.internal.admission.admission import Admission
+from ryesaddle.internal.admission.health import Health
 from ryesaddle.internal.config.model import Limits
 from ryesaddle.internal.journal.journal import Journal
 from ryesaddle.internal.log import event
@@ -73,8 +74,10 @@
         self.gate = gate
         self.upstream = upstream
         self.journal = Journal()
+        self.health = Health()
         self._endpoint = endpoint
         self._owner = owner
+        self._announced = node.me
         self._tokens = ResetTokens(node.peer_key)
         self._attempts = itertools.count(1)
         self._timers = {}
@@ -93,6 +96,10 @@
         view, me = self._owner.view, self.node.me
         return me.node in view.by_node and view.is_open(view.by_node[me.node])
 
+    def note_failure(self):
+        """Count a request that the target failed."""
+        self.health.failed(self._now())
+
     def transmit(self, flow):
         """Send what a flow has queued and arm its timer."""
         now = self._now()
@@ -108,8 +115,19 @@
         """Make this agent known to the others of its service, until cancelled."""
         while True:
             self._introduce_once()
+            self._announce_health()
             await asyncio.sleep(INTRODUCE_S)
 
+    def _announce_health(self):
+        failing = self.health.is_failing(self._now())
+        if failing != self._announced.failing:
+            self._announce(failing=failing)
+            event(log, "health", target=self.node.me.target, failing=failing)
+
+    def _announce(self, **changes):
+        self._announced = msgspec.structs.replace(self._announced, **changes)
+        self.node.membership.announce(self._announced)
+
     def _introduce_once(self):
         node = self.node
         cell = node.settings.cell
@@ -134,9 +152,7 @@
             Requests that were still in progress at the limit.
         """
         self._owner.draining = True
-        self.node.membership.announce(
-            msgspec.structs.replace(self.node.me, draining=True)
-        )
+        self._announce(draining=True)
         deadline = self._now() + limit_s
         await asyncio.sleep(STOP_LINGER_S)
         while self._is_busy() and self._now() < deadline:
--- a/src/ryesaddle/daemons/exchange.py
+++ b/src/ryesaddle/daemons/exchange.py
@@ -95,8 +95,10 @@
             raise
         except aiohttp.ClientConnectorError:
             # The claim, if there is one, was withdrawn on the way here.
+            self._agent.note_failure()
             self._not_run("target-unreachable", self._agent.gate.retry_after())
         except (aiohttp.ClientError, OSError) as exc:
+            self._agent.note_failure()
             self._give_up(f"target-failed:{type(exc).__name__}", 502)
         except Exception:
             # A defect of the agent must not leave the caller without an answer.
@@ -200,6 +202,7 @@
             self._flow.send_data(self._stream_id, b"", end=True)
             self._agent.transmit(self._flow)
             self._end(Outcome.RAN, reply.status, "answered")
+            self._agent.health.succeeded()
         return True
 
     def _answer_headers(self, status, fields):
--- a/src/ryesaddle/daemons/upstream.py
+++ b/src/ryesaddle/daemons/upstream.py
@@ -49,6 +49,10 @@
             **options,
         )
 
+        # aiohttp sends PUT and DELETE again by itself when the connection breaks,
+        # although the first may have run; it has no public switch for this.
+        self._single._retry_connection = False
+
     @contextlib.asynccontextmanager
     async def exchange(self, method, path, headers, body, safe):
         """Send a request and give its `aiohttp.ClientResponse` inside the block.
--- a/src/ryesaddle/internal/routing/member.py
+++ b/src/ryesaddle/internal/routing/member.py
@@ -26,6 +26,8 @@
         The target beside the agent; empty for a balancer.
     draining : bool
         Whether the process is about to stop.
+    failing : bool
+        Whether its target has failed several requests in a row.
     """
 
     node: str
@@ -36,6 +38,7 @@
     service: str = ""
     target: str = ""
     draining: bool = False
+    failing: bool = False
 
     @property
     def identity(self):
--- a/src/ryesaddle/internal/store/client.py
+++ b/src/ryesaddle/internal/store/client.py
@@ -88,11 +88,19 @@
         UncertainWriteError
             If its effect could not be settled.
         """
-        obj = new_object(kind, name, spec, version, write_id=uuid.uuid4().hex)
+        write_id = uuid.uuid4().hex
+        obj = new_object(kind, name, spec, version, write_id)
         try:
             return await self._write_once(obj)
         except UncertainWriteError:
             return await self._settle(obj)
+        except ConflictError:
+            # aiohttp may have sent the request twice on its own, so the conflict
+            # can be with this very write.
+            held = await self.get(kind, name)
+            if held and held.metadata.annotations.get(WRITE_ID) == write_id:
+                return held
+            raise
 
     async def watch(self, kind, version):
         """Yield `WatchEvent` items of a kind after ``version``.
--- /dev/null
+++ b/tests/daemons/test_upstream.py
@@ -0,0 +1,58 @@
+import unittest
+
+import aiohttp
+from aiohttp import web
+
+from ryesaddle.daemons.upstream import Upstream
+from ryesaddle.internal.address import Address
+from tests.support.deployment import free_port
+
+
+class UpstreamTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.seen = []
+        app = web.Application()
+        app.router.add_route("*", "/drop", self.drop)
+        app.router.add_get("/long", self.long)
+        app.router.add_get("/who", self.who)
+        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self.runner.setup()
+        port = free_port()
+        await web.TCPSite(self.runner, "127.0.0.1", port).start()
+        self.upstream = Upstream(Address("127.0.0.1", port))
+
+    async def asyncTearDown(self):
+        await self.upstream.close()
+        await self.runner.cleanup()
+
+    async def drop(self, req):
+        self.seen.append(req.method)
+        req.transport.abort()
+        return web.Response()
+
+    async def long(self, req):
+        reply = web.StreamResponse(headers={"Content-Length": "1000000"})
+        await reply.prepare(req)
+        await reply.write(b"x" * 10_000)
+        self.seen.append(req.transport.get_extra_info("peername"))
+        await reply.write(b"x" * 990_000)
+        return reply
+
+    async def who(self, req):
+        self.seen.append(req.transport.get_extra_info("peername"))
+        return web.Response(text="whole")
+
+    async def test_a_submission_is_sent_once_whatever_its_method(self):
+        for method in ("POST", "PUT", "DELETE", "PATCH"):
+            self.seen.clear()
+            with self.assertRaises(aiohttp.ClientError):
+                async with self.upstream.exchange(method, "/drop", [], b"", False):
+                    pass
+            self.assertEqual(self.seen, [method])
+
+    async def test_a_connection_with_an_unread_answer_is_never_used_again(self):
+        async with self.upstream.exchange("GET", "/long", [], b"", True) as reply:
+            await reply.content.read(100)
+        async with self.upstream.exchange("GET", "/who", [], b"", True) as reply:
+            self.assertEqual(await reply.read(), b"whole")
+        self.assertNotEqual(self.seen[0], self.seen[1])
--- /dev/null
+++ b/tests/membership/test_snapshot.py
@@ -0,0 +1,65 @@
+import json
+import unittest
+
+from hypothesis import given, strategies as st
+
+from ryesaddle.internal.membership.snapshot import CellRecord, Replica, Snapshot
+from tests.support.flows import member
+
+names = st.sampled_from(("cell-1", "cell-2"))
+
+
+def record(cell, generation):
+    """Return the one record that a cell has at a generation."""
+    members = tuple(member(f"{cell}-{n}") for n in range(generation % 4))
+    return CellRecord(cell, 1, generation, members)
+
+
+def files(generation):
+    """Return the one content that the configuration has at a generation."""
+    service = {"kind": "service", "name": "case-desk", "port": 1 + generation}
+    return {"10.json": json.dumps(service)} if generation else {}
+
+
+generations = st.integers(0, 6)
+snapshots = st.builds(
+    lambda generation, cells: Snapshot(
+        generation, files(generation), {c: record(c, g) for c, g in cells.items()}
+    ),
+    generations,
+    st.dictionaries(names, generations),
+)
+
+
+class SnapshotTest(unittest.TestCase):
+    @given(snapshots, snapshots, snapshots)
+    def test_joining_is_a_semilattice(self, one, two, three):
+        self.assertEqual(one.join(one), one)
+        self.assertEqual(one.join(two).digest(), two.join(one).digest())
+        self.assertEqual(one.join(two).join(three), one.join(two.join(three)))
+
+    @given(st.lists(snapshots, min_size=1, max_size=8), st.randoms())
+    def test_replicas_agree_whatever_the_order_and_repeats(self, found, rng):
+        replicas = []
+        for _ in range(2):
+            order = found * 2
+            rng.shuffle(order)
+            replica = Replica()
+            for snapshot in order:
+                replica.absorb(snapshot)
+            replicas.append(replica)
+        one, two = replicas
+        self.assertEqual(one.snapshot, two.snapshot)
+        self.assertEqual(one.cfg, two.cfg)
+        for name, view in one.views.items():
+            self.assertEqual(view.members, two.views[name].members)
+
+    @given(st.lists(snapshots, max_size=10))
+    def test_a_replica_never_returns_to_an_older_configuration(self, found):
+        replica = Replica()
+        highest = 0
+        for snapshot in found:
+            replica.absorb(snapshot)
+            highest = max(highest, snapshot.generation)
+            self.assertEqual(replica.cfg.generation, highest)
+            self.assertEqual(replica.snapshot.files, files(highest))
--- /dev/null
+++ b/tests/store/test_client.py
@@ -0,0 +1,101 @@
+import asyncio
+import random
+import unittest
+
+import aiohttp
+
+from ryesaddle.errors import ConflictError, StoreUnavailableError, UncertainWriteError
+from ryesaddle.internal.store.client import StoreClient
+from ryesaddle.internal.store.mirror import Mirror
+from ryesaddle.internal.store.pacing import Backoff
+from tests.support.deployment import free_port
+from tests.support.object_api import serve
+
+QUICK = Backoff(0.01, 0.05)
+KIND = "configurations"
+PATIENCE_S = 60.0
+
+
+class StoreClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        port = free_port()
+        self.runner, self.api = await serve("127.0.0.1", port)
+        self.session = aiohttp.ClientSession()
+        self.client = self.make_client(port)
+        self.port = port
+
+    def make_client(self, port):
+        url = f"http://127.0.0.1:{port}"
+        return StoreClient(url, self.session, random.Random(1), QUICK)
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.runner.cleanup()
+
+    async def fault(self, **faults):
+        url = f"http://127.0.0.1:{self.port}/faults"
+        async with self.session.put(url, json=faults):
+            pass
+
+    async def until(self, condition):
+        async with asyncio.timeout(PATIENCE_S):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def test_a_write_over_another_version_conflicts(self):
+        first = await self.client.write(KIND, "a", {"n": 1}, "")
+        version = first.metadata.resource_version
+        await self.client.write(KIND, "a", {"n": 2}, version)
+        with self.assertRaises(ConflictError):
+            await self.client.write(KIND, "a", {"n": 3}, version)
+        with self.assertRaises(ConflictError):
+            await self.client.write(KIND, "a", {"n": 3}, "")
+
+    async def test_a_lost_answer_is_settled_by_reading_back(self):
+        await self.fault(lose_answers=1)
+        first = await self.client.write(KIND, "a", {"n": 1}, "")
+        self.assertEqual(first.spec, {"n": 1})
+        await self.fault(lose_answers=1)
+        version = first.metadata.resource_version
+        second = await self.client.write(KIND, "a", {"n": 2}, version)
+        self.assertEqual(second.spec, {"n": 2})
+        self.assertEqual(self.api.version, 2)
+
+    async def test_a_write_during_an_outage_is_never_called_done(self):
+        await self.fault(down=True)
+        with self.assertRaises((UncertainWriteError, StoreUnavailableError)):
+            await self.client.write(KIND, "a", {"n": 1}, "")
+        await self.fault()
+        self.assertIsNone(await self.client.get(KIND, "a"))
+
+    async def test_reads_are_retried_while_the_store_throttles(self):
+        await self.client.write(KIND, "a", {"n": 1}, "")
+        await self.fault(throttle=True)
+        read = asyncio.ensure_future(self.client.get(KIND, "a"))
+        await self.until(lambda: self.api.calls["read"] >= 1)
+        await self.fault()
+        self.assertEqual((await read).spec, {"n": 1})
+
+    async def test_a_mirror_follows_through_compaction_and_outage(self):
+        seen = {}
+        mirror = Mirror(
+            self.client,
+            KIND,
+            lambda o: seen.update({o.metadata.name: o.spec["n"]}),
+            random.Random(1),
+            QUICK,
+        )
+        task = asyncio.ensure_future(mirror.run())
+        first = await self.client.write(KIND, "a", {"n": 1}, "")
+        await self.until(lambda: seen == {"a": 1})
+        await self.fault(down=True)
+        await asyncio.sleep(0.2)
+        await self.fault()
+        version = first.metadata.resource_version
+        await self.client.write(KIND, "a", {"n": 2}, version)
+        async with self.session.post(f"http://127.0.0.1:{self.port}/compact"):
+            pass
+        await self.until(lambda: seen == {"a": 2})
+        await self.client.write(KIND, "b", {"n": 3}, "")
+        await self.until(lambda: seen == {"a": 2, "b": 3})
+        task.cancel()
