Prove the promises on real processes under kills, pauses and outages

Five failed at first: repeats got 504 because header names of aiohttp's own string type could not be encoded in the fate report (now plain strings); a paused agent's later attempts were called 'not run' although an earlier one ran (an undecided claim is now 'unknown', with when to come back); a flow of a killed agent hung because a ping is too short for a 42-byte stateless reset (now one byte shorter than what it answers, RFC 9000 10.3.3); two tests were wrong: they seeded restarted balancers with each other only, and looked for a request that was over (now slower).

--- a/src/ryesaddle/cli/report.py
+++ b/src/ryesaddle/cli/report.py
@@ -18,7 +18,7 @@
         yield f"request {request_id}: no agent has a record of it"
     for number, entry in enumerate(trace.entries, 1):
         yield f"request {request_id}, attempt {number}: {entry.outcome}"
-        yield f"  {EXPLANATIONS[entry.outcome]}"
+        yield f"  {_explain(entry)}"
         yield f"  {entry.method} {entry.path} key={entry.key or '-'}"
         yield f"  caller {entry.caller} service {entry.service} target {entry.target}"
         yield (
@@ -49,6 +49,15 @@
         yield line
 
 
+def _explain(entry):
+    if entry.outcome is Outcome.UNKNOWN and entry.dispatched_at is None:
+        return (
+            "this attempt was never handed to a target, but an earlier one with the "
+            "same key may have been"
+        )
+    return EXPLANATIONS[entry.outcome]
+
+
 def _time(seconds):
     if seconds is None:
         return "-"
--- a/src/ryesaddle/daemons/exchange.py
+++ b/src/ryesaddle/daemons/exchange.py
@@ -22,6 +22,7 @@
 
 CHUNK_BYTES = 64 * 1024
 CLAIM_RETRY_AFTER_S = 1
+DRAINING_RETRY_AFTER_S = 1
 PROXY_NAME = "ryesaddle"
 OUTCOME_HEADER = "ryesaddle-outcome"
 
@@ -110,9 +111,6 @@
         if not await self._body_done:
             self._answer_error(413, Outcome.NOT_RUN, "body-too-large")
             return
-        if not self._agent.takes_new_work():
-            self._not_run("draining", 1)
-            return
         if not self._req.key:
             await self._admit()
             return
@@ -123,7 +121,9 @@
             case HeldElsewhere():
                 self._repeat(found)
             case Unavailable(reason=reason):
-                self._not_run(reason, CLAIM_RETRY_AFTER_S)
+                # This attempt did not run, but an earlier one with its key may
+                # have, so the caller must not be told that the request did not.
+                self._answer_error(503, Outcome.UNKNOWN, reason, CLAIM_RETRY_AFTER_S)
 
     async def _run_claimed(self, claim):
         self._claim = claim
@@ -140,6 +140,9 @@
             self._agent.claims.give_up(claim)
 
     async def _admit(self):
+        if not self._agent.takes_new_work():
+            self._not_run("draining", DRAINING_RETRY_AFTER_S)
+            return
         decision = await self._agent.gate.enter(self._attempt, self._deadline)
         if isinstance(decision, Decline):
             self._not_run(decision.reason, decision.retry_after_s)
@@ -157,7 +160,7 @@
         if report.fate is Fate.FINISHED and report.answer is not None:
             self._repeat_answer(report.answer, where)
         else:
-            self._answer_error(504, Outcome.UNKNOWN, f"held-by:{where}")
+            self._answer_error(504, Outcome.UNKNOWN, f"held-by:{where},{report.fate}")
 
     def _repeat_answer(self, answer, where):
         if answer.body is None:
--- a/src/ryesaddle/daemons/upstream.py
+++ b/src/ryesaddle/daemons/upstream.py
@@ -87,4 +87,4 @@
 
 def end_to_end(headers):
     """Return header pairs without those that concern one connection only."""
-    return [(k, v) for k, v in headers if k.lower() not in HOP_HEADERS]
+    return [(str(k), v) for k, v in headers if k.lower() not in HOP_HEADERS]
--- a/src/ryesaddle/internal/quic/packet.py
+++ b/src/ryesaddle/internal/quic/packet.py
@@ -8,7 +8,6 @@
 
 CID_BYTES = 8
 LONG_HEADER_BIT = 0x80
-MIN_RESET_BYTES = 21
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ryesaddle/internal/quic/reset.py
+++ b/src/ryesaddle/internal/quic/reset.py
@@ -4,8 +4,8 @@
 import os
 
 TOKEN_BYTES = 16
-PADDING_BYTES = 24
-MIN_TRIGGER_BYTES = 41
+MIN_RESET_BYTES = 21
+MAX_RESET_BYTES = 42
 FIXED_BITS = 0x40
 
 
@@ -37,8 +37,9 @@
         trigger_bytes : int
             Length of that datagram; the answer is shorter.
         """
-        if trigger_bytes < MIN_TRIGGER_BYTES:
+        length = min(trigger_bytes - 1, MAX_RESET_BYTES)
+        if length < MIN_RESET_BYTES:
             return None
-        noise = bytearray(os.urandom(PADDING_BYTES))
+        noise = bytearray(os.urandom(length - TOKEN_BYTES))
         noise[0] = FIXED_BITS | (noise[0] & 0x3F)
         return bytes(noise) + self.token(flow_id)
--- a/tests/support/caller.py
+++ b/tests/support/caller.py
@@ -83,6 +83,7 @@
 
     def cancel(self, stream_id):
         """Abandon a request (RFC 9114, section 4.1.1)."""
+        self._waiters.pop(stream_id).cancel()
         self._quic.stop_stream(stream_id, 0x10C)
         self.transmit()
 
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -153,6 +153,9 @@
         """Start (or restart) a balancer or agent."""
         if name not in self._settings:
             self._settings[name] = self._member_settings(role, name, extra)
+        # A member may be started while the store is away, so it is told of others.
+        others = [s["control"] for n, s in self._settings.items() if n != name]
+        self._settings[name]["seeds"] = others[-3:]
         file = self.folder / f"{name}.json"
         file.write_text(json.dumps(self._settings[name], indent=2))
         self._launch(name, [*self.program, role, str(file)])
@@ -168,7 +171,6 @@
             "control": ["127.0.0.1", free_port()],
             "store_url": self.store_url,
             "peer_key_file": self.desk_settings.peer_key_file,
-            "seeds": [s["control"] for s in list(self._settings.values())[:2]],
             **extra,
         }
         if role == "balancer":
--- /dev/null
+++ b/tests/support/process_case.py
@@ -0,0 +1,70 @@
+"""Base class of tests that run the real processes."""
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from tests.support.caller import FlowRefusedError, StreamCutError
+from tests.support.deployment import Deployment
+
+
+class ProcessCase(unittest.IsolatedAsyncioTestCase):
+    """Starts a deployment for each test."""
+
+    services = {"case-desk": 3}
+    balancers = 2
+    cells = 2
+    work_s = 0.01
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory(prefix="ryesaddle-test-")
+        self.addCleanup(folder.cleanup)
+        self.deployment = Deployment(
+            Path(folder.name), self.services, self.balancers, self.cells, self.work_s
+        )
+        self.addCleanup(self.deployment.stop)
+        await self.deployment.start()
+
+    async def status_check(self, request_id="", service="case-desk"):
+        """Do one status check on a flow of its own."""
+        headers = [("x-request-id", request_id)] if request_id else []
+        async with self.deployment.call(service) as caller:
+            return await caller.request("GET", "/status/1", headers)
+
+    async def submit(self, key, request_id, timeout_s=20.0, seconds=0):
+        """Submit once on a new flow; return the `Reply`, or None if it broke."""
+        headers = [("idempotency-key", f'"{key}"'), ("x-request-id", request_id)]
+        try:
+            async with self.deployment.call("case-desk") as caller:
+                return await caller.request(
+                    "POST",
+                    f"/reply?seconds={seconds}",
+                    headers,
+                    b"hardship",
+                    timeout_s,
+                )
+        except (FlowRefusedError, StreamCutError, ConnectionError, TimeoutError):
+            return None
+
+    async def executions(self, key):
+        """Return how often the targets executed a key."""
+        return sum(item["key"] == key for item in await self.deployment.executed())
+
+    async def agent_with_running_request(self):
+        """Wait for a request in progress; return the name of its agent."""
+        found = []
+
+        async def is_running():
+            status = await self.deployment.status()
+            found[:] = [n for n, s in status.items() if s and s.get("running")]
+            return bool(found)
+
+        await self.deployment.wait_until(is_running, "a request in progress")
+        return found[0]
+
+    async def later(self, coro):
+        """Start a coroutine and let it get under way."""
+        task = asyncio.ensure_future(coro)
+        await asyncio.sleep(0.3)
+        return task
--- a/tests/support/target.py
+++ b/tests/support/target.py
@@ -51,6 +51,7 @@
     async def _reply(self, req):
         body = await req.read()
         await self._work(req)
+        await asyncio.sleep(float(req.query.get("seconds", 0)))
         digest = hashlib.sha256(body).hexdigest()
         return web.json_response({"received": digest, "by": self.name}, status=201)
 
