--- a/src/ryesaddle/daemons/agent.py
+++ b/src/ryesaddle/daemons/agent.py
@@ -393,6 +393,8 @@
             event(log, "stopping", node=node.me.node)
             left = await agent.drain(gate.admission.limits.stop_limit_s)
             event(log, "drained", node=node.me.node, cut=left)
+        # The cell's tasks have ended, so the lease is not renewed after this.
+        await node.membership.resign()
     finally:
         agent.close()
         await upstream.close()
--- a/src/ryesaddle/daemons/balancer.py
+++ b/src/ryesaddle/daemons/balancer.py
@@ -210,6 +210,8 @@
             # here, and answers to them, are forwarded meanwhile.
             node.membership.announce(msgspec.structs.replace(node.me, draining=True))
             await asyncio.sleep(STOP_LINGER_S)
+        # The cell's tasks have ended, so the lease is not renewed after this.
+        await node.membership.resign()
     finally:
         balancer.close()
         await node.close()
--- a/src/ryesaddle/daemons/membership.py
+++ b/src/ryesaddle/daemons/membership.py
@@ -20,7 +20,13 @@
 from ryesaddle.internal.membership.lease import Lease
 from ryesaddle.internal.membership.snapshot import CellRecord, Replica, Snapshot
 from ryesaddle.internal.store.mirror import Mirror
-from ryesaddle.internal.wire.control import Changed, Heartbeat, HeartbeatAck, Leave
+from ryesaddle.internal.wire.control import (
+    Changed,
+    Heartbeat,
+    HeartbeatAck,
+    Leave,
+    Resigned,
+)
 
 log = logging.getLogger(__name__)
 
@@ -66,6 +72,7 @@
         peer.on(HeartbeatAck, self._on_ack)
         peer.on(Changed, self._on_ack)
         peer.on(Leave, self._on_leave)
+        peer.on(Resigned, self._on_resigned)
 
     def listen(self, listener):
         """Call ``listener()`` after each change of the replica."""
@@ -87,6 +94,20 @@
         """Publish a changed announcement of this process."""
         self.cell.announce(me)
 
+    async def resign(self):
+        """Give up the lease of the cell, if this process holds it."""
+        followers = self.cell.followers()
+        for action in self.cell.resign():
+            spec = msgspec.to_builtins(action.lease)
+            try:
+                name = self.cell.cell
+                await self._store.write(LEASES, name, spec, action.version)
+            except StoreError as exc:
+                warn(log, "lease-not-given-up", reason=exc)
+                return
+            for member in followers:
+                self._peer.send_control(member.address, Resigned(self.cell.term))
+
     def leave(self):
         """Tell the leader that this process stops now."""
         if self.cell.leader is not None:
@@ -162,6 +183,9 @@
             )
         )
 
+    def _on_resigned(self, datagram, body, addr):
+        self.cell.resigned(body.term, self._now())
+
     def _on_leave(self, datagram, body, addr):
         self.cell.leave(body.node, body.incarnation)
 
--- a/src/ryesaddle/internal/membership/cell.py
+++ b/src/ryesaddle/internal/membership/cell.py
@@ -104,6 +104,20 @@
         self.me = me
         self._next_heartbeat = 0.0
 
+    def resign(self):
+        """Give up the lease before a planned stop, so that it need not lapse."""
+        if not self.leads:
+            return []
+        vacant = Lease("", 0, self.me.address, self.term, self._lease.renewals + 1)
+        self._led_since = None
+        return [WriteLease(vacant, self._lease_version)]
+
+    def resigned(self, term, now):
+        """Take the news that the leader of ``term`` has resigned."""
+        if term >= self.term:
+            self._last_ack = None
+            self._next_read = now
+
     def heartbeat(self, member, now):
         """Take a member's heartbeat; only the leader answers."""
         if not self.leads:
@@ -214,6 +228,8 @@
         return now - self._last_ack > 2.5 * HEARTBEAT_S
 
     def _has_lapsed(self, now):
+        if self._lease is not None and not self._lease.holder:
+            return True
         if self._lease and (self._lease.holder, self._lease.incarnation) == (
             self.me.identity
         ):
--- a/src/ryesaddle/internal/membership/lease.py
+++ b/src/ryesaddle/internal/membership/lease.py
@@ -14,7 +14,7 @@
     Attributes
     ----------
     holder : str
-        Node that leads the cell.
+        Node that leads the cell, empty if it has resigned.
     incarnation : int
         Incarnation of the holder.
     address : Address
--- a/src/ryesaddle/internal/wire/control.py
+++ b/src/ryesaddle/internal/wire/control.py
@@ -30,6 +30,12 @@
     control: Address
 
 
+class Resigned(msgspec.Struct, frozen=True, tag=True):
+    """The leader of this term has given up its lease."""
+
+    term: int
+
+
 class Leave(msgspec.Struct, frozen=True, tag=True):
     """A member has stopped."""
 
@@ -74,6 +80,7 @@
     Heartbeat
     | HeartbeatAck
     | Changed
+    | Resigned
     | Leave
     | Introduce
     | IntroduceAck
--- a/tests/membership/test_cell.py
+++ b/tests/membership/test_cell.py
@@ -79,6 +79,12 @@
     def pass_time(self, seconds):
         self.world.now += seconds
 
+    @rule(node=nodes)
+    def resign(self, node):
+        if node not in self.frozen:
+            cell = self.world.members[node]
+            self.world.perform(node, cell.resign())
+
     @rule()
     def store_outage_or_return(self):
         self.world.down = not self.world.down
@@ -150,6 +156,19 @@
         world.settle(4.0, [n for n in NODES if n != dead])
         self.assertNotIn(dead, {m.node for m in world.record.value.members})
 
+    def test_a_leader_that_resigns_is_replaced_within_a_second(self):
+        world = CellWorld(NODES)
+        world.settle()
+        leader = next(n for n, cell in world.members.items() if cell.leads)
+        rest = [n for n in NODES if n != leader]
+        world.perform(leader, world.members[leader].resign())
+        while world.pending:
+            world.answer(0)
+        for node in rest:
+            world.members[node].resigned(world.lease.value.term, world.now)
+        world.settle(1.0, rest)
+        self.assertEqual(sum(world.members[n].leads for n in rest), 1)
+
     def test_a_dead_leader_is_replaced_and_nobody_else_is_dropped(self):
         world = CellWorld(NODES)
         world.settle()
