Do not wait for callers that have gone during a planned stop

Cause: the close of a flow can be lost with a killed balancer, and the agent's stop then waited for the acknowledgement of an answer until its limit. Ruled out: the election after the balancer's death (2 to 3 s in four trials).

--- a/src/ryesaddle/daemons/agent.py
+++ b/src/ryesaddle/daemons/agent.py
@@ -27,6 +27,7 @@
 from ryesaddle.internal.admission.health import Health
 from ryesaddle.internal.config.model import Limits
 from ryesaddle.internal.journal.journal import Journal
+from ryesaddle.internal.journal.outcome import Outcome
 from ryesaddle.internal.log import event
 from ryesaddle.internal.quic.endpoint import Endpoint, make_configuration
 from ryesaddle.internal.quic.packet import read_packet
@@ -47,6 +48,7 @@
 INTRODUCE_S = 0.5
 STOP_POLL_S = 0.05
 STOP_LINGER_S = 1.0
+CALLER_SILENCE_S = 3.0
 
 
 class Agent:
@@ -149,7 +151,7 @@
         Returns
         -------
         int
-            Requests that were still in progress at the limit.
+            Flows with requests still in progress at the limit.
         """
         self._owner.draining = True
         self._announce(draining=True)
@@ -157,7 +159,7 @@
         await asyncio.sleep(STOP_LINGER_S)
         while self._is_busy() and self._now() < deadline:
             await asyncio.sleep(STOP_POLL_S)
-        left = len(self._tasks)
+        left = sum(self._in_progress(flow) for flow in self._endpoint.flows)
         for flow in self._endpoint.flows:
             flow.conn.close(error_code=ErrorCode.H3_NO_ERROR)
             self.transmit(flow)
@@ -169,7 +171,15 @@
         view = self._owner.view
         alone = view is None or all(m.draining for m in view.members)
         holds = self.claims.acceptor.is_active(self._now()) and not alone
-        return bool(self._tasks) or holds
+        return holds or any(self._in_progress(flow) for flow in self._endpoint.flows)
+
+    def _in_progress(self, flow):
+        # A caller that acknowledges nothing although its answer is being sent
+        # again has gone; only its connection's time-out is left to wait for.
+        if self._now() - flow.heard_at < CALLER_SILENCE_S:
+            return bool(flow.exchanges)
+        outcomes = [exchange.outcome for exchange, _ in flow.exchanges.values()]
+        return Outcome.PENDING in outcomes
 
     def close(self):
         """Stop all timers and tasks."""
