--- a/bench/model.py
+++ b/bench/model.py
@@ -89,12 +89,12 @@
     ----------
     waits : list of float
         Seconds from arrival to dispatch, of dispatched requests.
-    in_time, late, refused : int
-        Requests answered within or after their deadline, and refused ones.
+    in_time, late : int
+        Requests answered within or after their deadline.
     busy_s : list of float
         Slot seconds used by each target.
-    refusal_s : float
-        Longest time from arrival to a refusal.
+    refusals_s : list of float
+        Seconds from arrival to refusal, of refused requests.
     span_s : float
         Time of the last arrival.
     end_s : float
@@ -106,9 +106,8 @@
     waits: list = field(default_factory=list)
     in_time: int = 0
     late: int = 0
-    refused: int = 0
     busy_s: list = field(default_factory=list)
-    refusal_s: float = 0.0
+    refusals_s: list = field(default_factory=list)
     span_s: float = 0.0
     end_s: float = 0.0
     in_time_s: float = 0.0
@@ -241,8 +240,7 @@
 
     def _refuse(self, attempt, decision, now):
         number, tries, first_at, arrived_at, _ = attempt
-        self.result.refused += 1
-        self.result.refusal_s = max(self.result.refusal_s, now - arrived_at)
+        self.result.refusals_s.append(now - arrived_at)
         if tries < self._work.patience:
             wait = decision.retry_after_s * self._rng.uniform(1.0, 1.5)
             self._push(now + wait, "arrive", (number, first_at, tries + 1))
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,176 @@
+"""Control state, messages and processor time as functions of size."""
+
+import random
+import time
+import tracemalloc
+
+import msgspec
+
+from ryesaddle.internal.address import Address
+from ryesaddle.internal.claims.acceptor import Acceptor
+from ryesaddle.internal.claims.handover import Handover
+from ryesaddle.internal.claims.identity import Ballot, ClaimId, ClaimMember, Slot
+from ryesaddle.internal.claims.message import Accept, Prepare
+from ryesaddle.internal.claims.view import ClaimView
+from ryesaddle.internal.journal.entry import JournalEntry
+from ryesaddle.internal.journal.journal import Journal
+from ryesaddle.internal.membership.cell import HEARTBEAT_S, CellMember
+from ryesaddle.internal.membership.snapshot import CellRecord, Replica, Snapshot
+from ryesaddle.internal.routing.member import Member
+from ryesaddle.internal.wire.codec import Codec
+from ryesaddle.internal.wire.control import (
+    Heartbeat,
+    HeartbeatAck,
+    decode_control,
+    encode_control,
+)
+from ryesaddle.internal.wire.message import Control, Datagram
+
+SIZES = (32, 64, 128, 256, 512)
+KEY_SIZES = (1_000, 2_000, 4_000, 8_000, 16_000)
+
+
+def run_slopes():
+    """Return a dict of rows and fitted slopes by topic."""
+    topics = {
+        "cell leader, members": (_leader, SIZES),
+        "replica, members announced": (_replica, SIZES),
+        "claims, keys": (_claims, KEY_SIZES),
+        "journal, requests": (_journal, KEY_SIZES),
+    }
+    found = {}
+    for topic, (measure, sizes) in topics.items():
+        rows = [{"size": size, **measure(size)} for size in sizes]
+        fits = {name: fit(rows, name) for name in rows[0] if name != "size"}
+        found[topic] = {"rows": rows, "fits": fits}
+    return found
+
+
+def fit(rows, name):
+    """Return the least-squares intercept and slope of a measure over size."""
+    count = len(rows)
+    xs, ys = [row["size"] for row in rows], [row[name] for row in rows]
+    mean_x, mean_y = sum(xs) / count, sum(ys) / count
+    spread = sum((x - mean_x) ** 2 for x in xs)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in zip(xs, ys)) / spread
+    return {"at_zero": mean_y - slope * mean_x, "slope": slope}
+
+
+def announcement(number, service="case-desk"):
+    """Return the announcement of an agent with names of usual length."""
+    address = Address("10.20.30.40", 10_000 + number % 50_000)
+    return Member(
+        node=f"agent-{service}-bkk-a-{number:06}",
+        incarnation=1_796_330_235_338_000_000 + number,
+        address=address,
+        control=address,
+        data_centre="bkk-a",
+        service=service,
+        target=f"{service}-bkk-a-{number:06}",
+    )
+
+
+def _leader(size):
+    """Processor time and bytes of one second of leading a cell."""
+    codec = Codec(b"k" * 32)
+    members = [announcement(number) for number in range(size)]
+    leader = CellMember("cell", members[0], random.Random(1))
+    leader.tick(0.0)
+    leader.lease_read(None, "", 0.0)
+    leader.lease_written("1", 0.0)
+    leader.record_absent()
+    beats = [
+        codec.encode(Datagram(m.node, 1, Control(encode_control(Heartbeat(m)))))
+        for m in members
+    ]
+    address = members[0].control
+    ack = Control(encode_control(HeartbeatAck(1, 2**63, address)))
+    received = sent = 0
+    now, rounds = 1.0, 8
+    began = time.process_time()
+    for _ in range(rounds):
+        for beat in beats:
+            msg = decode_control(codec.decode(beat).body.body)
+            for _ in leader.heartbeat(msg.member, now):
+                sent += len(codec.encode(Datagram("leader", 1, ack)))
+            received += len(beat)
+        for _ in range(5):
+            now += HEARTBEAT_S / 5
+            leader.tick(now)
+    seconds = rounds * HEARTBEAT_S
+    return {
+        "cpu_ms_per_s": (time.process_time() - began) / seconds * 1e3,
+        "bytes_in_per_s": received / seconds,
+        "bytes_out_per_s": sent / seconds,
+        "record_bytes": len(msgspec.json.encode(CellRecord("c", 1, 1, tuple(members)))),
+    }
+
+
+def _replica(size):
+    """Memory of a replica, and processor time and bytes of taking one change."""
+    members = [announcement(n, f"service-{n % 64:03}") for n in range(size)]
+    cells = {
+        f"cell-{first}": CellRecord(f"cell-{first}", 1, 1, tuple(members[first::8]))
+        for first in range(8)
+    }
+    encoded = msgspec.json.encode(Snapshot(0, {}, cells))
+    tracemalloc.start()
+    replica = Replica()
+    replica.absorb(msgspec.json.decode(encoded, type=Snapshot))
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    rounds = 20
+    began = time.process_time()
+    for generation in range(2, rounds + 2):
+        record = msgspec.structs.replace(cells["cell-0"], generation=generation)
+        replica.absorb(Snapshot(cells={"cell-0": record}))
+    taken = (time.process_time() - began) / rounds
+    return {
+        "held_bytes": held,
+        "fetch_bytes": len(encoded),
+        "cpu_ms_per_change": taken * 1e3,
+    }
+
+
+def _claims(size):
+    """Memory and processor time of an acceptor's keys."""
+    me = ClaimMember("agent-case-desk-bkk-a-000001", 1_796_330_235_338_000_000)
+    tracemalloc.start()
+    acceptor = Acceptor(me, 3_600.0)
+    acceptor.install(ClaimView(1, (me,)), Handover(), 0.0)
+    began = time.process_time()
+    for number in range(size):
+        claim = ClaimId(me.node, me.incarnation, number)
+        slot, ballot = Slot(f"reply-{number:032}", 0), Ballot(1, claim)
+        acceptor.handle(Prepare(1, slot, ballot), 0.0)
+        acceptor.handle(Accept(1, slot, ballot, claim), 0.0)
+    taken = time.process_time() - began
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    handover = acceptor.seal(1, 0.0)
+    return {
+        "held_bytes": held,
+        "handover_bytes": len(msgspec.json.encode(handover)),
+        "traced_cpu_ms": taken * 1e3,
+    }
+
+
+def _journal(size):
+    """Memory of a journal."""
+    tracemalloc.start()
+    journal = Journal(size)
+    for number in range(size):
+        entry = JournalEntry(
+            request_id=f"{number:032x}",
+            caller="10.20.30.40:50000",
+            flow=f"{number:016x}",
+            service="case-desk",
+            target="case-desk-bkk-a-000001",
+            agent="agent-case-desk-bkk-a-000001",
+            method="GET",
+            path=f"/status/{number}",
+        )
+        journal.put(number, entry)
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return {"held_bytes": held}
