Send only a digest of the announcement in heartbeats

The whole is now sent only when the leader does not hold it. Ruled out: a longer period, which would delay the removal of a crashed agent.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -19,7 +19,7 @@
 from ryesaddle.internal.routing.member import Member
 from ryesaddle.internal.wire.codec import Codec
 from ryesaddle.internal.wire.control import (
-    Heartbeat,
+    Beat,
     HeartbeatAck,
     decode_control,
     encode_control,
@@ -79,19 +79,30 @@
     leader.lease_read(None, "", 0.0)
     leader.lease_written("1", 0.0)
     leader.record_absent()
+    for m in members:
+        leader.heartbeat(m, 0.0)
     beats = [
-        codec.encode(Datagram(m.node, 1, Control(encode_control(Heartbeat(m)))))
+        codec.encode(
+            Datagram(m.node, m.incarnation, Control(encode_control(Beat(m.digest()))))
+        )
         for m in members
     ]
-    address = members[0].control
-    ack = Control(encode_control(HeartbeatAck(1, 2**63, address)))
+    ack = Control(encode_control(HeartbeatAck(1, 2**63, 2**63)))
     received = sent = 0
     now, rounds = 1.0, 8
     began = time.process_time()
     for _ in range(rounds):
         for beat in beats:
-            msg = decode_control(codec.decode(beat).body.body)
-            for _ in leader.heartbeat(msg.member, now):
+            datagram = codec.decode(beat)
+            msg = decode_control(datagram.body.body)
+            for action in leader.beat(
+                datagram.sender,
+                datagram.incarnation,
+                members[0].address,
+                msg.announcement,
+                now,
+            ):
+                assert action.announcement
                 sent += len(codec.encode(Datagram("leader", 1, ack)))
             received += len(beat)
         for _ in range(5):
--- a/src/ryesaddle/daemons/membership.py
+++ b/src/ryesaddle/daemons/membership.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ryesaddle.errors import ConflictError, FolderError, StoreError
+from ryesaddle.internal.address import Address
 from ryesaddle.internal.log import event, warn
 from ryesaddle.internal.membership.action import (
     FetchSnapshot,
@@ -21,6 +22,7 @@
 from ryesaddle.internal.membership.snapshot import CellRecord, Replica, Snapshot
 from ryesaddle.internal.store.mirror import Mirror
 from ryesaddle.internal.wire.control import (
+    Beat,
     Changed,
     Heartbeat,
     HeartbeatAck,
@@ -70,7 +72,8 @@
         self._listeners = []
         peer.on(Heartbeat, self._on_heartbeat)
         peer.on(HeartbeatAck, self._on_ack)
-        peer.on(Changed, self._on_ack)
+        peer.on(Changed, self._on_changed)
+        peer.on(Beat, self._on_beat)
         peer.on(Leave, self._on_leave)
         peer.on(Resigned, self._on_resigned)
 
@@ -143,10 +146,13 @@
     def _perform(self, actions):
         for action in actions:
             match action:
-                case SendHeartbeat(address=address):
-                    self._peer.send_control(address, Heartbeat(self.cell.me))
-                case SendHeartbeatAck(address=address, term=term):
-                    self._peer.send_control(address, self._digest_message(term))
+                case SendHeartbeat(address=address, full=full):
+                    me = self.cell.me
+                    msg = Heartbeat(me) if full else Beat(me.digest())
+                    self._peer.send_control(address, msg)
+                case SendHeartbeatAck(address=address, term=term, announcement=held):
+                    digest = self.replica.snapshot.digest()
+                    self._peer.send_control(address, HeartbeatAck(term, digest, held))
                 case FetchSnapshot(address=address):
                     self._spawn(self._fetch(address))
                 case ReadLease():
@@ -163,26 +169,34 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _digest_message(self, term):
-        return HeartbeatAck(term, self.replica.snapshot.digest(), self.cell.me.control)
-
     def _notify(self):
-        msg = self._digest_message(self.cell.term)
-        changed = Changed(msg.term, msg.digest, msg.control)
+        changed = Changed(self.cell.term, self.replica.snapshot.digest())
         for member in self.cell.followers():
             self._peer.send_control(member.address, changed)
 
     def _on_heartbeat(self, datagram, body, addr):
         self._perform(self.cell.heartbeat(body.member, self._now()))
 
-    def _on_ack(self, datagram, body, addr):
-        mine = self.replica.snapshot.digest()
+    def _on_beat(self, datagram, body, addr):
+        address = Address(*addr[:2])
         self._perform(
-            self.cell.acknowledged(
-                body.term, body.control, body.digest, mine, self._now()
+            self.cell.beat(
+                datagram.sender,
+                datagram.incarnation,
+                address,
+                body.announcement,
+                self._now(),
             )
         )
 
+    def _on_ack(self, datagram, body, addr):
+        self.cell.acknowledged(body.term, body.announcement, self._now())
+        self._on_changed(datagram, body, addr)
+
+    def _on_changed(self, datagram, body, addr):
+        mine = self.replica.snapshot.digest()
+        self._perform(self.cell.compared(body.term, body.digest, mine))
+
     def _on_resigned(self, datagram, body, addr):
         self.cell.resigned(body.term, self._now())
 
--- a/src/ryesaddle/internal/membership/action.py
+++ b/src/ryesaddle/internal/membership/action.py
@@ -30,17 +30,37 @@
 
 @dataclass(frozen=True, slots=True)
 class SendHeartbeat:
-    """Send this member's announcement to the leader."""
+    """Send a heartbeat to the leader.
+
+    Attributes
+    ----------
+    address : Address
+        Of the leader.
+    full : bool
+        Whether to send the whole announcement and not only its digest.
+    """
 
     address: Address
+    full: bool
 
 
 @dataclass(frozen=True, slots=True)
 class SendHeartbeatAck:
-    """Tell a member that its heartbeat arrived, and the leader's digest."""
+    """Tell a member that its heartbeat arrived, and the leader's digest.
+
+    Attributes
+    ----------
+    address : Address
+        Of the member.
+    term : int
+        Term of the leader.
+    announcement : int
+        Digest of the announcement that the leader holds, 0 for none.
+    """
 
     address: Address
     term: int
+    announcement: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ryesaddle/internal/membership/cell.py
+++ b/src/ryesaddle/internal/membership/cell.py
@@ -30,6 +30,10 @@
 class _Heard:
     member: Member
     at: float
+    digest: int = 0
+
+    def __post_init__(self):
+        self.digest = self.member.digest()
 
 
 class CellMember:
@@ -53,6 +57,8 @@
         self.cell = cell
         self.me = me
         self._rng = rng
+        self._announcement = me.digest()
+        self._held_announcement = 0
         self._lease = None
         self._lease_version = ""
         self._lease_seen_at = None
@@ -102,13 +108,16 @@
     def announce(self, me):
         """Replace the announcement of this process."""
         self.me = me
+        self._announcement = me.digest()
         self._next_heartbeat = 0.0
 
     def resign(self):
         """Give up the lease before a planned stop, so that it need not lapse."""
         if not self.leads:
             return []
-        vacant = Lease("", 0, self.me.address, self.term, self._lease.renewals + 1)
+        vacant = msgspec.structs.replace(
+            self._lease, holder="", renewals=self._lease.renewals + 1
+        )
         self._led_since = None
         return [WriteLease(vacant, self._lease_version)]
 
@@ -125,7 +134,21 @@
         held = self._heard.get(member.node)
         if held is None or member.incarnation >= held.member.incarnation:
             self._heard[member.node] = _Heard(member, now)
-        return [SendHeartbeatAck(member.address, self.term)]
+        return [SendHeartbeatAck(member.address, self.term, member.digest())]
+
+    def beat(self, node, incarnation, address, announcement, now):
+        """Take a heartbeat that carries only the digest of an announcement."""
+        if not self.leads:
+            return []
+        held = self._heard.get(node)
+        known = (
+            held is not None
+            and held.member.incarnation == incarnation
+            and held.digest == announcement
+        )
+        if known:
+            held.at = now
+        return [SendHeartbeatAck(address, self.term, announcement if known else 0)]
 
     def leave(self, node, incarnation):
         """Forget a member that has stopped."""
@@ -133,12 +156,17 @@
         if held and held.member.incarnation == incarnation:
             del self._heard[node]
 
-    def acknowledged(self, term, address, digest, mine, now):
-        """Take the leader's acknowledgement and compare snapshot digests."""
-        if term < self.term:
+    def acknowledged(self, term, announcement, now):
+        """Take the leader's acknowledgement of a heartbeat."""
+        if term >= self.term:
+            self._last_ack = now
+            self._held_announcement = announcement
+
+    def compared(self, term, digest, mine):
+        """Compare the digest of the leader's snapshot with one's own."""
+        if term < self.term or digest == mine or self._lease is None:
             return []
-        self._last_ack = now
-        return [FetchSnapshot(address)] if digest != mine else []
+        return [FetchSnapshot(self._lease.control)]
 
     def lease_read(self, lease, version, now):
         """Take the result of `ReadLease`; ``lease`` is None if there is none."""
@@ -216,7 +244,8 @@
         actions = []
         if self._lease is not None and now >= self._next_heartbeat:
             self._next_heartbeat = now + HEARTBEAT_S
-            actions.append(SendHeartbeat(self._lease.address))
+            full = self._held_announcement != self._announcement
+            actions.append(SendHeartbeat(self._lease.address, full))
         if self._misses_leader(now) and now >= self._next_read:
             self._next_read = now + READ_LEASE_S * self._rng.uniform(0.8, 1.4)
             actions.append(ReadLease())
@@ -237,7 +266,8 @@
         return now - self._lease_seen_at >= LEASE_S
 
     def _bid(self, now):
-        lease = Lease(self.me.node, self.me.incarnation, self.me.address, self.term + 1)
+        me = self.me
+        lease = Lease(me.node, me.incarnation, me.address, me.control, self.term + 1)
         self._pending_lease = lease
         return WriteLease(lease, self._lease_version)
 
@@ -256,7 +286,7 @@
             )
             self._pending_lease = renewed
             actions.append(WriteLease(renewed, self._lease_version))
-        self._heard[self.me.node] = _Heard(self.me, now)
+        self._hear_oneself(now)
         self._heard = {
             node: heard
             for node, heard in self._heard.items()
@@ -270,12 +300,18 @@
         self._lease_seen_at = None
         self._next_read = now
 
+    def _hear_oneself(self, now):
+        held = self._heard.get(self.me.node)
+        if held is None or held.member != self.me:
+            self._heard[self.me.node] = _Heard(self.me, now)
+        else:
+            held.at = now
+
     def _excuse_own_pause(self, now):
         # After a pause of this process, silence of the members proves nothing.
         if self._last_tick is not None and now - self._last_tick > 2 * HEARTBEAT_S:
-            self._heard = {
-                node: _Heard(heard.member, now) for node, heard in self._heard.items()
-            }
+            for heard in self._heard.values():
+                heard.at = now
 
     def _write_record(self, now):
         members = tuple(h.member for _, h in sorted(self._heard.items()))
--- a/src/ryesaddle/internal/membership/lease.py
+++ b/src/ryesaddle/internal/membership/lease.py
@@ -17,8 +17,8 @@
         Node that leads the cell, empty if it has resigned.
     incarnation : int
         Incarnation of the holder.
-    address : Address
-        Where the holder receives heartbeats.
+    address, control : Address
+        Where the holder receives heartbeats, and HTTP calls of members.
     term : int
         Grows by one with each change of holder.
     renewals : int
@@ -28,5 +28,6 @@
     holder: str
     incarnation: int
     address: Address
+    control: Address
     term: int
     renewals: int = 0
--- a/src/ryesaddle/internal/routing/member.py
+++ b/src/ryesaddle/internal/routing/member.py
@@ -1,6 +1,7 @@
 """An agent as the other members know it."""
 
 import msgspec
+import xxhash
 
 from ryesaddle.internal.address import Address
 
@@ -40,6 +41,10 @@
     draining: bool = False
     failing: bool = False
 
+    def digest(self):
+        """Return an integer that differs between different announcements."""
+        return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(self))
+
     @property
     def identity(self):
         """The pair that names one run of one process."""
--- a/src/ryesaddle/internal/wire/control.py
+++ b/src/ryesaddle/internal/wire/control.py
@@ -3,7 +3,6 @@
 import msgspec
 
 from ryesaddle.errors import WireError
-from ryesaddle.internal.address import Address
 from ryesaddle.internal.claims.message import ClaimMessage
 from ryesaddle.internal.routing.member import Member
 
@@ -14,12 +13,28 @@
     member: Member
 
 
+class Beat(msgspec.Struct, frozen=True, tag=True):
+    """A heartbeat of a member whose announcement the leader holds."""
+
+    announcement: int
+
+
 class HeartbeatAck(msgspec.Struct, frozen=True, tag=True):
-    """The leader's answer, with the digest of its snapshot."""
+    """The leader's answer, with the digest of its snapshot.
+
+    Attributes
+    ----------
+    term : int
+        Term of the leader.
+    digest : int
+        Digest of its snapshot.
+    announcement : int
+        Digest of the member's announcement that it holds, 0 for none.
+    """
 
     term: int
     digest: int
-    control: Address
+    announcement: int
 
 
 class Changed(msgspec.Struct, frozen=True, tag=True):
@@ -27,7 +42,6 @@
 
     term: int
     digest: int
-    control: Address
 
 
 class Resigned(msgspec.Struct, frozen=True, tag=True):
@@ -78,6 +92,7 @@
 
 ControlMessage = (
     Heartbeat
+    | Beat
     | HeartbeatAck
     | Changed
     | Resigned
--- a/tests/support/cells.py
+++ b/tests/support/cells.py
@@ -62,10 +62,10 @@
         me = self.members[node].me
         for action in actions:
             match action:
-                case SendHeartbeat(address=address):
-                    self.messages.append((address, "heartbeat", me))
-                case SendHeartbeatAck(address=address, term=term):
-                    self.messages.append((address, "ack", (me.control, term)))
+                case SendHeartbeat(address=address, full=full):
+                    self.messages.append((address, "full" if full else "beat", me))
+                case SendHeartbeatAck(address=address, term=term, announcement=held):
+                    self.messages.append((address, "ack", (term, held)))
                 case ReadLease() | WriteLease() | WriteRecord():
                     self.pending.append((node, me.incarnation, action))
 
@@ -75,11 +75,15 @@
         for node, cell in self.members.items():
             if cell.me.address != address or node in self.stopped:
                 continue
-            if kind == "heartbeat":
+            if kind == "full":
                 self.perform(node, cell.heartbeat(body, self.now))
+            elif kind == "beat":
+                actions = cell.beat(
+                    body.node, body.incarnation, body.address, body.digest(), self.now
+                )
+                self.perform(node, actions)
             else:
-                control, term = body
-                self.perform(node, cell.acknowledged(term, control, 0, 0, self.now))
+                cell.acknowledged(*body, self.now)
 
     def answer(self, index, lose=False):
         """Let the store answer one call, or take effect and lose the answer."""
