--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,13 @@
 lock: $(VENV)/.installed
 	$(BIN)/python -m pip install --quiet uv
 	$(BIN)/uv pip compile -q --no-header --no-annotate --all-extras pyproject.toml -o requirements.lock
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m bench
+
+binary: $(VENV)/.installed
+	rm -rf build dist && mkdir -p dist
+	$(BIN)/python -m pip install --quiet --target build/site -r requirements.run.lock
+	$(BIN)/python -m pip install --quiet --no-deps --target build/site .
+	$(BIN)/shiv --site-packages build/site --console-script ryesaddle --compressed \
+		--python '/usr/bin/env python3' --output-file dist/ryesaddle
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,77 @@
+"""Runs all benchmarks; writes JSON and a picture for each measure."""
+
+import json
+import sys
+from pathlib import Path
+
+import matplotlib
+
+matplotlib.use("Agg")
+import matplotlib.pyplot as plt
+
+from bench.broken import run_broken
+from bench.datapath import run_datapath, run_flow_memory
+from bench.placement import LOADS, POLICIES, run_overload, run_placement
+from bench.processes import run_processes
+from bench.slopes import run_slopes
+
+RESULTS = Path(__file__).parent / "results"
+BENCHMARKS = {
+    "broken": run_broken,
+    "overload": run_overload,
+    "placement": run_placement,
+    "datapath": run_datapath,
+    "flow_memory": run_flow_memory,
+    "slopes": run_slopes,
+    "processes": run_processes,
+}
+
+
+def main(names):
+    """Run the named benchmarks, or all of them."""
+    RESULTS.mkdir(exist_ok=True)
+    for name in names or BENCHMARKS:
+        rows = BENCHMARKS[name]()
+        text = json.dumps(rows, indent=1)
+        (RESULTS / f"{name}.json").write_text(text + "\n")
+        print(f"{name}:")
+        for row in rows if isinstance(rows, list) else [rows]:
+            print(f"  {row}")
+        if name == "placement":
+            _plot_placement(rows)
+        elif name == "broken":
+            _plot_broken(rows)
+
+
+def _plot_placement(rows):
+    figure, axes = plt.subplots(1, 3, figsize=(15, 4.5))
+    for axis, kind in zip(axes, ("equal", "mixed", "one slow")):
+        for policy in POLICIES:
+            found = [
+                row
+                for row in rows
+                if (row["workload"], row["policy"], row["service"])
+                == (kind, policy, "case-desk")
+            ]
+            points = sorted((row["load"], row["p99_wait"]) for row in found)
+            if points:
+                axis.plot(*zip(*points), marker="o", label=policy)
+        axis.set_yscale("log")
+        axis.set_xticks(LOADS)
+        axis.set_xlabel("load")
+        axis.set_title(f"{kind}: 99th percentile of waiting, in service times")
+    axes[0].legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(RESULTS / "placement.png", dpi=80)
+
+
+def _plot_broken(rows):
+    figure, axis = plt.subplots(figsize=(7, 4))
+    axis.bar([row["design"] for row in rows], [row["planned"] for row in rows])
+    axis.set_title("flows broken by planned change, same seeded schedule")
+    figure.tight_layout()
+    figure.savefig(RESULTS / "broken.png", dpi=80)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/bench/broken.py
+++ b/bench/broken.py
@@ -20,10 +20,9 @@
 
 @dataclass
 class Counts:
-    """Flows broken by planned change and by crash, and extra hops per packet."""
+    """Flows broken by planned change, flows lost with a crash, and extra hops."""
 
     planned: int = 0
-    crashed: int = 0
     on_dead: int = 0
     packets: int = 0
     hops: int = 0
@@ -93,7 +92,6 @@
                 counts.planned += 1
         counts.hops += world.hops - before
         world.settle()
-    counts.crashed = counts.on_dead
     return counts
 
 
@@ -146,7 +144,6 @@
                 counts.hops += 1
         world.settle()
         world.balancer_views = [world.history[-1]] * BALANCERS
-    counts.crashed = counts.on_dead
     return counts
 
 
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,95 @@
+"""New flows a second, throughput and memory of the real processes."""
+
+import asyncio
+import tempfile
+import time
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import psutil
+
+from tests.support.caller import call
+from tests.support.deployment import Deployment
+
+CALLERS = 3
+SECONDS = 5.0
+PACK_BYTES = 16 * 1_048_576
+CONCURRENT = 4
+
+
+def run_processes():
+    """Return one row of figures of one balancer and one agent on loopback."""
+    return asyncio.run(_run())
+
+
+async def _run():
+    with tempfile.TemporaryDirectory(prefix="ryesaddle-bench-") as folder:
+        deployment = Deployment(Path(folder), {"case-desk": 1}, 1, 1, work_s=0.0)
+        deployment.limits = {"slots": 64, "queue": 512, "ramp_s": 0.1}
+        try:
+            await deployment.start()
+            return await _measure(deployment)
+        finally:
+            deployment.stop()
+
+
+async def _measure(deployment):
+    loop = asyncio.get_running_loop()
+    names = ("balancer-0", "agent-case-desk-0")
+    watched = {name: psutil.Process(deployment.processes[name].pid) for name in names}
+    entry = deployment.entry["case-desk"]
+    idle = {name: process.memory_info().rss for name, process in watched.items()}
+    before = _cpu(watched)
+    with ProcessPoolExecutor(CALLERS) as pool:
+        jobs = [loop.run_in_executor(pool, open_flows, entry) for _ in range(CALLERS)]
+        flows = sum(await asyncio.gather(*jobs))
+    after = _cpu(watched)
+    status = (await deployment.status())["balancer-0"]["counts"]
+    datagrams = status["balancer.forwarded"] + status["balancer.answered"]
+    began = time.monotonic()
+    cpu = _cpu(watched)
+    async with call(*entry) as caller:
+        reply = await caller.request("GET", f"/pack?bytes={PACK_BYTES}", timeout_s=120)
+    took = time.monotonic() - began
+    assert len(reply.body) == PACK_BYTES
+    spent = _cpu(watched)
+    row = {
+        "new_flows_per_s": round(flows / SECONDS, 1),
+        "download_mb_per_s": round(PACK_BYTES / took / 1e6, 2),
+        "balancer_us_per_datagram": round(
+            (after[names[0]] - before[names[0]]) / datagrams * 1e6, 1
+        ),
+        "agent_ms_per_flow": round(
+            (after[names[1]] - before[names[1]]) / flows * 1e3, 2
+        ),
+    }
+    for name, process in watched.items():
+        role = name.partition("-")[0]
+        row[f"{role}_idle_mb"] = round(idle[name] / 1e6, 1)
+        row[f"{role}_mb"] = round(process.memory_info().rss / 1e6, 1)
+        row[f"{role}_cpu_s_per_download"] = round(spent[name] - cpu[name], 2)
+    return row
+
+
+def open_flows(entry):
+    """Open flows with one request each for a while; return how many were served."""
+    return asyncio.run(_open_flows(entry))
+
+
+async def _open_flows(entry):
+    end = time.monotonic() + SECONDS
+    counts = await asyncio.gather(*(_one_caller(entry, end) for _ in range(CONCURRENT)))
+    return sum(counts)
+
+
+async def _one_caller(entry, end):
+    count = 0
+    while time.monotonic() < end:
+        async with call(*entry) as caller:
+            reply = await caller.request("GET", "/status/1")
+            count += reply.status == 200
+    return count
+
+
+def _cpu(watched):
+    return {name: sum(p.cpu_times()[:2]) for name, p in watched.items()}
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -50,6 +50,7 @@
         self.balancers = balancers
         self.cells = cells
         self.work_s = work_s
+        self.limits = {"ramp_s": 0.5, "stop_limit_s": 15}
         self.processes = {}
         self.targets = {}
         self.ports = {}
@@ -97,7 +98,7 @@
                     "kind": "service",
                     "name": service,
                     "port": port,
-                    "limits": {"ramp_s": 0.5, "stop_limit_s": 15},
+                    "limits": self.limits,
                 },
             )
             self.write_file(
