Relay requests of established flows while their target drains

Cause: a flow whose target drains stayed open but could only answer 'not run' to new requests. GOAWAY was ruled out: aioquic has no call that sends it. The owning agent now hands such requests to an open agent of the service, which claims, admits and runs them; a repeat of a relayed key runs once (DrainProcessTest).

The cell proof had lost sight of one mutation; a rule that pauses the leader past its lease brings it back.

--- a/src/ryesaddle/daemons/agent.py
+++ b/src/ryesaddle/daemons/agent.py
@@ -20,7 +20,9 @@
 from ryesaddle.daemons.gate import Gate
 from ryesaddle.daemons.membership import running
 from ryesaddle.daemons.node import compose_node, stop_event
+from ryesaddle.daemons.relay import Relay
 from ryesaddle.daemons.request import decode_request
+from ryesaddle.daemons.stream import FlowStream
 from ryesaddle.daemons.upstream import Upstream
 from ryesaddle.daemons.views import ClaimViews
 from ryesaddle.internal.admission.admission import Admission
@@ -68,10 +70,13 @@
         HTTP/1.1 to the target.
     claims : Claims
         Idempotency keys.
+    relay : Relay
+        Hands requests to other agents while the target drains.
     """
 
-    def __init__(self, node, endpoint, owner, gate, upstream, claims):
+    def __init__(self, node, endpoint, owner, gate, upstream, claims, relay):
         self.node = node
+        self.relay = relay
         self.claims = claims
         self.gate = gate
         self.upstream = upstream
@@ -90,6 +95,11 @@
         node.server.route("GET", "/status", self._status)
         node.server.route("GET", "/requests/{request_id}", self._trace)
         node.membership.listen(self._on_change)
+        relay.serve(self)
+
+    def next_attempt(self):
+        """Return a number that names an attempt in this run of the agent."""
+        return next(self._attempts)
 
     def takes_new_work(self):
         """Whether the target may be handed a new request."""
@@ -274,7 +284,8 @@
             return
         limits = self.gate.admission.limits
         req = decode_request(item.headers, limits.request_timeout_s)
-        exchange = Exchange(self, flow, item.stream_id, req, next(self._attempts))
+        stream = FlowStream(flow, item.stream_id, self.transmit)
+        exchange = Exchange(self, stream, req, self.next_attempt())
         if item.stream_ended:
             exchange.feed(b"", True)
         task = asyncio.get_running_loop().create_task(exchange.run())
@@ -385,7 +396,8 @@
     owner = Owner(node.me)
     claims = Claims(node, owner, Limits().key_ttl_s)
     views = ClaimViews(node, owner, claims)
-    agent = Agent(node, endpoint, owner, gate, upstream, claims)
+    relay = Relay(node, owner)
+    agent = Agent(node, endpoint, owner, gate, upstream, claims, relay)
     certificates = CertificateWatch(settings, endpoint)
     stop = stop_event()
     try:
--- a/src/ryesaddle/daemons/control.py
+++ b/src/ryesaddle/daemons/control.py
@@ -51,7 +51,10 @@
 
     async def open(self):
         """Listen on the control address."""
-        self._runner = web.AppRunner(self.app, access_log=None)
+        # A relayed request ends with the agent that relayed it.
+        self._runner = web.AppRunner(
+            self.app, access_log=None, handler_cancellation=True
+        )
         await self._runner.setup()
         site = web.TCPSite(self._runner, *self._address)
         try:
@@ -99,6 +102,19 @@
         data = msgspec.json.encode(value)
         return await self._call("POST", address, path, data, timeout_s)
 
+    async def open(self, address, path, data, timeout):
+        """Send bytes and return the open `aiohttp.ClientResponse`.
+
+        Unlike `post`, this raises the errors of aiohttp: the caller must know
+        whether the other side may have received the data.
+        """
+        return await self._session.post(
+            f"http://{address}{path}",
+            headers=self._headers,
+            data=data,
+            timeout=timeout,
+        )
+
     async def _call(self, method, address, path, data, timeout_s):
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         url = f"http://{address}{path}"
--- a/src/ryesaddle/daemons/exchange.py
+++ b/src/ryesaddle/daemons/exchange.py
@@ -1,15 +1,17 @@
 """Carries one request from a caller to the target and its answer back."""
 
 import asyncio
+import hashlib
 import logging
 import time
 
 import aiohttp
 import msgspec
-from aioquic.h3.connection import ErrorCode
 
 from ryesaddle.daemons.claims import Acquired, HeldElsewhere, Unavailable
+from ryesaddle.daemons.header import OUTCOME_HEADER, answer_fields, error_fields
 from ryesaddle.daemons.request import MAX_BODY_BYTES
+from ryesaddle.daemons.stream import CallerGoneError
 from ryesaddle.daemons.upstream import end_to_end
 from ryesaddle.internal.admission.admission import Decline
 from ryesaddle.internal.claims.answer import MAX_STORED_BYTES, StoredAnswer
@@ -23,8 +25,6 @@
 CHUNK_BYTES = 64 * 1024
 CLAIM_RETRY_AFTER_S = 1
 DRAINING_RETRY_AFTER_S = 1
-PROXY_NAME = "ryesaddle"
-OUTCOME_HEADER = "ryesaddle-outcome"
 
 
 class Exchange:
@@ -33,23 +33,23 @@
     Parameters
     ----------
     agent : Agent
-        Parts of the agent: gate, upstream, journal, claims.
-    flow : Flow
-        The caller's connection.
-    stream_id : int
-        The request stream.
+        Parts of the agent: gate, upstream, journal, claims, relay.
+    stream : FlowStream or RelayStream
+        Where the answer goes.
     req : Request
         The request.
     attempt : int
         Number of the attempt, unique within this run of the agent.
+    relayed : bool
+        Whether another agent has relayed it here; it is not relayed again.
     """
 
-    def __init__(self, agent, flow, stream_id, req, attempt):
+    def __init__(self, agent, stream, req, attempt, relayed=False):
         self._agent = agent
-        self._flow = flow
-        self._stream_id = stream_id
+        self._stream = stream
         self._req = req
         self._attempt = attempt
+        self._relayed = relayed
         self._body = bytearray()
         self._body_done = asyncio.get_running_loop().create_future()
         self._answering = False
@@ -59,8 +59,8 @@
         me = agent.node.me
         self._entry = JournalEntry(
             request_id=req.request_id,
-            caller=str(flow.caller),
-            flow=flow.name,
+            caller=stream.caller,
+            flow=stream.flow_name,
             service=me.service,
             target=me.target,
             agent=me.node,
@@ -94,6 +94,8 @@
         except asyncio.CancelledError:
             self._end(self._fate(), 0, "caller-gone")
             raise
+        except CallerGoneError:
+            self._end(self._fate(), 0, "caller-gone")
         except aiohttp.ClientConnectorError:
             # The claim, if there is one, was withdrawn on the way here.
             self._agent.note_failure()
@@ -105,12 +107,18 @@
             # A defect of the agent must not leave the caller without an answer.
             log.exception("exchange-failed")
             self._give_up("internal-error", 500)
-        await self._confirm()
+        if await self._stream.delivered():
+            self._note(delivered=True)
 
     async def _serve(self):
         if not await self._body_done:
             self._answer_error(413, Outcome.NOT_RUN, "body-too-large")
             return
+        if not self._agent.takes_new_work() and not self._relayed:
+            member = self._agent.relay.choose(self._req.request_id)
+            if member is not None:
+                await self._relay_to(member)
+                return
         if not self._req.key:
             await self._admit()
             return
@@ -119,11 +127,9 @@
             case Acquired(claim=claim):
                 await self._run_claimed(claim)
             case HeldElsewhere():
-                self._repeat(found)
+                await self._repeat(found)
             case Unavailable(reason=reason):
-                # This attempt did not run, but an earlier one with its key may
-                # have, so the caller must not be told that the request did not.
-                self._answer_error(503, Outcome.UNKNOWN, reason, CLAIM_RETRY_AFTER_S)
+                self._answer_error(503, self._fate(), reason, CLAIM_RETRY_AFTER_S)
 
     async def _run_claimed(self, claim):
         self._claim = claim
@@ -153,27 +159,29 @@
         finally:
             self._agent.gate.leave(self._attempt, measured)
 
-    def _repeat(self, found):
+    async def _repeat(self, found):
         """Answer with what became of the attempt that holds the key."""
         report = found.report
         where = f"{found.holder.node}/{found.holder.sequence}"
-        if report.fate is Fate.FINISHED and report.answer is not None:
-            self._repeat_answer(report.answer, where)
-        else:
+        if report.fate is not Fate.FINISHED or report.answer is None:
             self._answer_error(504, Outcome.UNKNOWN, f"held-by:{where},{report.fate}")
-
-    def _repeat_answer(self, answer, where):
-        if answer.body is None:
+        elif report.answer.fingerprint != self._fingerprint():
+            self._answer_error(422, Outcome.NOT_RUN, f"key-of-another-request:{where}")
+        elif report.answer.body is None:
             self._answer_error(409, Outcome.RAN, f"ran-by:{where},answer-not-kept")
-            return
+        else:
+            await self._repeat_answer(report.answer, where)
+
+    async def _repeat_answer(self, answer, where):
+        fields = answer_fields(answer.headers, self._req.request_id, len(answer.body))
+        self._answering = True
+        await self._stream.start(answer.status, fields)
+        await self._stream.write(answer.body)
+        await self._stream.finish()
         self._end(Outcome.RAN, answer.status, f"ran-by:{where}")
-        headers = self._answer_headers(answer.status, answer.headers)
-        headers.append((b"content-length", str(len(answer.body)).encode()))
-        self._flow.send_headers(self._stream_id, headers)
-        self._flow.send_data(self._stream_id, answer.body, end=True)
-        self._agent.transmit(self._flow)
 
     async def _dispatch(self):
+        """Hand the request to the target; return whether its time counts."""
         req = self._req
         if self._claim and not self._agent.claims.claimant.take(self._claim):
             self._not_run("claim-released", CLAIM_RETRY_AFTER_S)
@@ -184,46 +192,73 @@
         async with self._agent.upstream.exchange(
             req.method, req.path, headers, bytes(self._body), req.is_safe
         ) as reply:
-            self._answering = True
             fields = tuple(end_to_end(reply.headers.items()))
-            headers = self._answer_headers(reply.status, fields)
-            if "Content-Length" in reply.headers:
-                length = reply.headers["Content-Length"]
-                headers.append((b"content-length", length.encode()))
-            self._flow.send_headers(self._stream_id, headers)
-            kept = bytearray()
-            async for chunk in reply.content.iter_chunked(CHUNK_BYTES):
-                if self._claim and len(kept) <= MAX_STORED_BYTES:
-                    kept += chunk
-                self._flow.send_data(self._stream_id, chunk)
-                self._agent.transmit(self._flow)
-                if not await self._flow.writable(self._stream_id):
-                    raise aiohttp.ClientError("caller is gone")
+            length = reply.headers.get("Content-Length")
+            body = await self._pass_on(
+                reply, answer_fields(fields, req.request_id, length)
+            )
             if self._claim:
-                body = bytes(kept) if len(kept) <= MAX_STORED_BYTES else None
-                self._stored = StoredAnswer(reply.status, fields, body)
-            self._flow.send_data(self._stream_id, b"", end=True)
-            self._agent.transmit(self._flow)
+                self._stored = StoredAnswer(
+                    reply.status, fields, body, self._fingerprint()
+                )
+            await self._stream.finish()
             self._end(Outcome.RAN, reply.status, "answered")
             self._agent.health.succeeded()
         return True
 
-    def _answer_headers(self, status, fields):
-        headers = [(b":status", str(status).encode())]
-        headers += [(k.lower().encode(), v.encode("latin-1")) for k, v in fields]
-        headers.append((b"x-request-id", self._req.request_id.encode()))
-        headers.append((OUTCOME_HEADER.encode(), Outcome.RAN.encode()))
-        return headers
+    async def _relay_to(self, member):
+        """Let another agent handle the request, because the own target drains."""
+        left = self._deadline - asyncio.get_running_loop().time()
+        req = msgspec.structs.replace(self._req, timeout_s=max(left, 0.0))
+        relay = self._agent.relay
+        self._log("place", reason="draining", to=member.node)
+        try:
+            async with relay.exchange(member, req, self._stream, self._body) as reply:
+                self._note(dispatched_at=time.time())
+                outcome = Outcome(reply.headers.get(OUTCOME_HEADER, Outcome.UNKNOWN))
+                fields = tuple(end_to_end(reply.headers.items()))
+                length = reply.headers.get("Content-Length")
+                if length is not None:
+                    fields = (*fields, ("content-length", length))
+                await self._pass_on(reply, fields)
+                await self._stream.finish()
+                self._end(outcome, reply.status, f"relayed:{member.node}")
+        except aiohttp.ClientConnectorError:
+            reason = f"relay-unreachable:{member.node}"
+            self._answer_error(503, self._fate(), reason, DRAINING_RETRY_AFTER_S)
+        except (aiohttp.ClientError, OSError):
+            self._answer_error(502, Outcome.UNKNOWN, f"relay-failed:{member.node}")
+
+    async def _pass_on(self, reply, fields):
+        """Stream an answer to the caller; return its body if it is short."""
+        self._answering = True
+        await self._stream.start(reply.status, [(k.lower(), v) for k, v in fields])
+        kept = bytearray()
+        async for chunk in reply.content.iter_chunked(CHUNK_BYTES):
+            if len(kept) <= MAX_STORED_BYTES:
+                kept += chunk
+            await self._stream.write(chunk)
+        return bytes(kept) if len(kept) <= MAX_STORED_BYTES else None
+
+    def _fingerprint(self):
+        """Return a digest of what makes this request the same as another."""
+        digest = hashlib.blake2b(bytes(self._body), digest_size=16)
+        digest.update(f"{self._req.method} {self._req.path}".encode())
+        return digest.digest()
 
     def _fate(self):
         if self._entry.outcome is not Outcome.PENDING:
             return self._entry.outcome
         handed = self._entry.dispatched_at is not None
-        return Outcome.UNKNOWN if handed else Outcome.NOT_RUN
+        # Without its claim, an earlier attempt with the same key may have run, so
+        # the caller must not be told that the request did not.
+        unsettled = bool(self._req.key) and self._claim is None
+        return Outcome.UNKNOWN if handed or unsettled else Outcome.NOT_RUN
 
     def _give_up(self, reason, status):
-        if self._fate() is Outcome.NOT_RUN:
-            self._not_run(reason, self._agent.gate.retry_after())
+        if self._entry.dispatched_at is None:
+            retry_after_s = self._agent.gate.retry_after()
+            self._answer_error(503, self._fate(), reason, retry_after_s)
         else:
             self._answer_error(status, Outcome.UNKNOWN, reason)
 
@@ -232,32 +267,15 @@
 
     def _answer_error(self, status, outcome, reason, retry_after_s=None):
         self._end(outcome, status, reason)
-        if self._flow.closed:
+        if self._stream.closed:
             return
         if self._answering:
             # Part of an answer is out: only a reset tells the caller that it is
             # not whole.
-            self._flow.reset(self._stream_id, ErrorCode.H3_INTERNAL_ERROR)
+            self._stream.abort()
         else:
-            self._send_error(status, outcome, reason, retry_after_s)
-        self._agent.transmit(self._flow)
-
-    def _send_error(self, status, outcome, reason, retry_after_s):
-        detail = f'{PROXY_NAME}; error=proxy_internal_response; details="{reason}"'
-        headers = [
-            (b":status", str(status).encode()),
-            (b"content-length", b"0"),
-            (b"x-request-id", self._req.request_id.encode()),
-            (OUTCOME_HEADER.encode(), outcome.encode()),
-            (b"proxy-status", detail.encode()),
-        ]
-        if retry_after_s is not None:
-            headers.append((b"retry-after", str(retry_after_s).encode()))
-        self._flow.send_headers(self._stream_id, headers, end=True)
-
-    async def _confirm(self):
-        if await self._flow.delivered(self._stream_id):
-            self._note(delivered=True)
+            fields = error_fields(self._req.request_id, outcome, reason, retry_after_s)
+            self._stream.send_whole(status, fields)
 
     def _finish_body(self, whole):
         if not self._body_done.done():
--- a/src/ryesaddle/daemons/membership.py
+++ b/src/ryesaddle/daemons/membership.py
@@ -10,6 +10,7 @@
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.log import event, warn
 from ryesaddle.internal.membership.action import (
+    FetchFromAnyone,
     FetchSnapshot,
     FollowStore,
     ReadLease,
@@ -155,6 +156,8 @@
                     self._peer.send_control(address, HeartbeatAck(term, digest, held))
                 case FetchSnapshot(address=address):
                     self._spawn(self._fetch(address))
+                case FetchFromAnyone():
+                    self._fetch_from_anyone()
                 case ReadLease():
                     self._spawn(self._read_lease())
                 case WriteLease(lease=lease, version=version):
@@ -203,6 +206,18 @@
     def _on_leave(self, datagram, body, addr):
         self.cell.leave(body.node, body.incarnation)
 
+    def _fetch_from_anyone(self):
+        cells = self.replica.snapshot.cells
+        others = [
+            member.control
+            for name, record in cells.items()
+            if name != self.cell.cell
+            for member in record.members
+        ]
+        choices = others or list(self._seeds)
+        if choices:
+            self._spawn(self._fetch(self._rng.choice(choices)))
+
     async def _fetch(self, address):
         if self._fetching:
             return
--- a/src/ryesaddle/daemons/request.py
+++ b/src/ryesaddle/daemons/request.py
@@ -1,14 +1,14 @@
 """One request of a caller, decoded from its HTTP/3 headers."""
 
 import uuid
-from dataclasses import dataclass
+
+import msgspec
 
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 MAX_BODY_BYTES = 1_048_576
 
 
-@dataclass(frozen=True)
-class Request:
+class Request(msgspec.Struct, frozen=True):
     """The fields of a request that decide how it is handled.
 
     Attributes
@@ -28,7 +28,7 @@
     request_id: str
     method: str
     path: str
-    headers: tuple
+    headers: tuple[tuple[str, str], ...]
     key: str
     timeout_s: float
 
--- a/src/ryesaddle/internal/claims/answer.py
+++ b/src/ryesaddle/internal/claims/answer.py
@@ -18,11 +18,14 @@
         End-to-end header fields.
     body : bytes or None
         None if it was longer than ``MAX_STORED_BYTES``.
+    fingerprint : bytes
+        Digest of the request that was answered.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes | None
+    fingerprint: bytes
 
 
 class FateReport(msgspec.Struct, frozen=True):
--- a/src/ryesaddle/internal/membership/action.py
+++ b/src/ryesaddle/internal/membership/action.py
@@ -70,6 +70,11 @@
     address: Address
 
 
+@dataclass(frozen=True, slots=True)
+class FetchFromAnyone:
+    """Fetch the snapshot of some member of another cell and join it."""
+
+
 @dataclass(frozen=True, slots=True)
 class FollowStore:
     """Start (or stop) following the object API for changes."""
--- a/src/ryesaddle/internal/membership/cell.py
+++ b/src/ryesaddle/internal/membership/cell.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ryesaddle.internal.membership.action import (
+    FetchFromAnyone,
     FetchSnapshot,
     FollowStore,
     ReadLease,
@@ -21,6 +22,7 @@
 LEASE_S = 3.0
 RENEW_S = 1.0
 READ_LEASE_S = 1.0
+FETCH_S = 0.4
 READ_LEASE_LIMIT_S = 30.0
 MEMBER_TIMEOUT_S = 2.5
 WRITE_RECORD_S = 0.2
@@ -63,6 +65,7 @@
         self._lease_version = ""
         self._lease_seen_at = None
         self._next_read = 0.0
+        self._next_fetch = 0.0
         self._next_heartbeat = 0.0
         self._last_ack = None
         self._pending_lease = None
@@ -246,6 +249,10 @@
             self._next_heartbeat = now + HEARTBEAT_S
             full = self._held_announcement != self._announcement
             actions.append(SendHeartbeat(self._lease.address, full))
+        if self._misses_leader(now) and now >= self._next_fetch:
+            # Until there is a leader again, news comes from another cell.
+            self._next_fetch = now + FETCH_S * self._rng.uniform(0.8, 1.2)
+            actions.append(FetchFromAnyone())
         if self._misses_leader(now) and now >= self._next_read:
             self._next_read = now + READ_LEASE_S * self._rng.uniform(0.8, 1.4)
             actions.append(ReadLease())
--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,138 @@
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from ryesaddle.cli.main import run
+from ryesaddle.errors import SettingsError
+from ryesaddle.settings import AgentSettings, BalancerSettings, load_settings
+from tests.support.certificates import write_certificate
+
+
+class CommandCase(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.key = self.folder / "peer.key"
+        self.key.write_text("k" * 32)
+        self.key.chmod(0o600)
+
+    def run_command(self, *tokens):
+        out, err = io.StringIO(), io.StringIO()
+        with (
+            contextlib.redirect_stdout(out),
+            contextlib.redirect_stderr(err),
+            self.assertRaises(SystemExit) as caught,
+        ):
+            run([str(token) for token in tokens])
+        return caught.exception.code, out.getvalue(), err.getvalue()
+
+
+class SettingsTest(CommandCase):
+    def balancer(self, **changes):
+        settings = {
+            "node": "b",
+            "data_centre": "bkk-a",
+            "cell": "bkk-a-1",
+            "peer": ["127.0.0.1", 1],
+            "control": ["127.0.0.1", 2],
+            "store_url": "http://127.0.0.1:1",
+            "peer_key_file": str(self.key),
+            "service_host": "127.0.0.1",
+        }
+        settings.update(changes)
+        file = self.folder / "settings.json"
+        file.write_text(json.dumps(settings))
+        return file
+
+    def assert_refused(self, file, *words, kind=BalancerSettings):
+        with self.assertRaises(SettingsError) as caught:
+            load_settings(file, kind)
+        message = str(caught.exception)
+        self.assertNotIn("\n", message)
+        for word in (str(file), *words):
+            self.assertIn(word, message)
+
+    def test_good_settings_are_frozen(self):
+        settings = load_settings(self.balancer(), BalancerSettings)
+        with self.assertRaises(AttributeError):
+            settings.node = "other"
+
+    def test_an_unknown_key_is_named(self):
+        self.assert_refused(self.balancer(colour="red"), "colour")
+
+    def test_a_wrong_type_is_named_with_its_field(self):
+        self.assert_refused(self.balancer(peer="nowhere"), "peer")
+
+    def test_a_missing_secret_is_named_with_a_remedy(self):
+        missing = self.folder / "none"
+        file = self.balancer(peer_key_file=str(missing))
+        self.assert_refused(file, "peer_key_file", "create it")
+
+    def test_a_secret_open_to_others_is_refused(self):
+        self.key.chmod(0o644)
+        self.assert_refused(self.balancer(), "peer_key_file", "chmod 600")
+
+    def test_a_private_key_open_to_others_is_refused(self):
+        cert, key = write_certificate(self.folder)
+        key.chmod(0o640)
+        file = self.balancer(
+            service="case-desk",
+            target="t",
+            target_address=["127.0.0.1", 3],
+            certificate_file=str(cert),
+            private_key_file=str(key),
+        )
+        settings = json.loads(file.read_text())
+        del settings["service_host"]
+        file.write_text(json.dumps(settings))
+        self.assert_refused(file, "private_key_file", kind=AgentSettings)
+
+    def test_a_daemon_with_bad_settings_exits_with_2_and_one_line(self):
+        code, _, err = self.run_command("balancer", self.balancer(colour="red"))
+        self.assertEqual(code, 2)
+        self.assertEqual(err.count("\n"), 1)
+
+    def test_an_address_in_use_exits_with_2_and_names_its_setting(self):
+        import socket
+
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.bind(("127.0.0.1", 0))
+            taken = list(sock.getsockname())
+            file = self.balancer(peer=taken, control=["127.0.0.1", 0])
+            code, _, err = self.run_command("balancer", file)
+        self.assertEqual(code, 2)
+        self.assertIn("error: peer:", err)
+
+
+class FolderCommandTest(CommandCase):
+    def write(self, name, content):
+        (self.folder / name).write_text(json.dumps(content))
+
+    def test_check_accepts_a_good_folder(self):
+        self.write("10.json", {"kind": "service", "name": "case-desk", "port": 4433})
+        code, out, _ = self.run_command("check", self.folder)
+        self.assertEqual(code, 0)
+        self.assertIn("1 services", out)
+
+    def test_check_reports_every_bad_file_and_exits_with_2(self):
+        self.write("10.json", {"kind": "service", "name": "case-desk", "port": 0})
+        self.write("20.json", {"kind": "rule", "service": "nobody"})
+        code, _, err = self.run_command("check", self.folder)
+        self.assertEqual(code, 2)
+        self.assertIn("error: 10.json:", err)
+        self.assertIn("error: 20.json:", err)
+
+    def test_an_unreachable_store_is_one_line_and_exit_code_2(self):
+        self.write("10.json", {"kind": "service", "name": "case-desk", "port": 4433})
+        desk = self.folder / "desk.settings"
+        settings = {"store_url": "http://127.0.0.1:1", "peer_key_file": str(self.key)}
+        desk.write_bytes(msgspec.json.encode(settings))
+        code, out, err = self.run_command("apply", self.folder, "--desk", desk)
+        self.assertEqual((code, out), (2, ""))
+        self.assertIn("error:", err)
--- a/tests/membership/test_cell.py
+++ b/tests/membership/test_cell.py
@@ -10,6 +10,7 @@
     run_state_machine_as_test,
 )
 
+from ryesaddle.internal.membership.action import FetchFromAnyone
 from ryesaddle.internal.membership.cell import MEMBER_TIMEOUT_S, CellMember
 from tests.support.cells import CellWorld
 
@@ -75,6 +76,16 @@
     def pause_or_resume(self, node):
         self.frozen ^= {node}
 
+    @rule(watch_first=st.booleans())
+    def pause_leader_past_its_lease(self, watch_first):
+        leaders = {n for n, cell in self.world.members.items() if cell.leads}
+        before, self.frozen = self.frozen, self.frozen | leaders
+        self.work(1.0, 14)
+        self.frozen = before
+        for node in sorted(leaders - self.frozen):
+            if watch_first:
+                self.world.watch(node)
+
     @rule(seconds=st.sampled_from((2.0, 4.0, 30.0)))
     def pass_time(self, seconds):
         self.world.now += seconds
@@ -169,6 +180,17 @@
         world.settle(1.0, rest)
         self.assertEqual(sum(world.members[n].leads for n in rest), 1)
 
+    def test_a_member_without_leader_asks_other_cells_within_two_seconds(self):
+        world = CellWorld(NODES)
+        world.settle()
+        follower = next(n for n, cell in world.members.items() if not cell.leads)
+        lost_at = world.now
+        actions = []
+        while not any(isinstance(a, FetchFromAnyone) for a in actions):
+            world.now += 0.1
+            actions = world.members[follower].tick(world.now)
+        self.assertLessEqual(world.now - lost_at, 2.0)
+
     def test_a_dead_leader_is_replaced_and_nobody_else_is_dropped(self):
         world = CellWorld(NODES)
         world.settle()
--- a/tests/processes/test_flows.py
+++ b/tests/processes/test_flows.py
@@ -85,4 +85,13 @@
                 reply = await self.status_check()
                 self.assertEqual(reply.status, 200)
                 self.assertNotIn(f'"{target}"'.encode(), reply.body)
+            for number in range(3):
+                reply = await caller.request("GET", f"/status/{number}")
+                self.assertEqual((reply.status, reply.outcome), (200, "ran"))
+                self.assertNotIn(f'"{target}"'.encode(), reply.body)
+            headers = [("idempotency-key", '"relayed"')]
+            for _ in range(2):
+                reply = await caller.request("POST", "/reply", headers, b"hardship")
+                self.assertEqual((reply.status, reply.outcome), (201, "ran"))
+            self.assertEqual(await self.executions("relayed"), 1)
             self.assertEqual((await slow).status, 200)
--- a/tests/processes/test_submissions.py
+++ b/tests/processes/test_submissions.py
@@ -19,6 +19,8 @@
         self.assertEqual(len(bodies), 1)
         later = await self.submit("case-7", "seven-later")
         self.assertEqual(bytes(later.body), bodies.pop())
+        other = await self.submit("case-7", "seven-other", seconds=0.1)
+        self.assertEqual((other.status, other.outcome), (422, "not-run"))
         self.assertEqual(await self.executions("case-7"), 1)
 
     async def test_a_killed_agent_leads_to_no_second_run_and_no_false_word(self):
