--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,6 +1,7 @@
 """New flows a second, throughput and memory of the real processes."""
 
 import asyncio
+import contextlib
 import tempfile
 import time
 from concurrent.futures import ProcessPoolExecutor
@@ -13,6 +14,8 @@
 
 CALLERS = 3
 SECONDS = 5.0
+OPEN_FLOWS = (25, 50, 100, 200, 400)
+CHANGES = 8
 PACK_BYTES = 16 * 1_048_576
 CONCURRENT = 4
 
@@ -71,6 +74,64 @@
     return row
 
 
+def run_open_flows():
+    """Return rows of the memory of one agent by the number of open flows."""
+    return asyncio.run(_run_open_flows())
+
+
+async def _run_open_flows():
+    with tempfile.TemporaryDirectory(prefix="ryesaddle-bench-") as folder:
+        deployment = Deployment(Path(folder), {"case-desk": 1}, 1, 1, work_s=0.0)
+        try:
+            await deployment.start()
+            agent = psutil.Process(deployment.processes["agent-case-desk-0"].pid)
+            idle, rows = agent.memory_info().rss, []
+            async with contextlib.AsyncExitStack() as stack:
+                for size in OPEN_FLOWS:
+                    count = size - (rows[-1]["flows"] if rows else 0)
+                    for _ in range(count):
+                        caller = await stack.enter_async_context(
+                            deployment.call("case-desk")
+                        )
+                        await caller.request("GET", "/status/1")
+                    grown = agent.memory_info().rss - idle
+                    rows.append(
+                        {"flows": size, "bytes": grown, "per_flow": grown // size}
+                    )
+            return rows
+        finally:
+            deployment.stop()
+
+
+def run_changes():
+    """Return rows of the time from acceptance of a change until all members have it."""
+    return asyncio.run(_run_changes())
+
+
+async def _run_changes():
+    with tempfile.TemporaryDirectory(prefix="ryesaddle-bench-") as folder:
+        deployment = Deployment(Path(folder), {"case-desk": 7, "pack-archive": 4}, 3, 4)
+        try:
+            await deployment.start()
+            rows = []
+            for number in range(CHANGES):
+                drain = {"kind": "drain", "target": f"nobody-{number}"}
+                deployment.write_file("90.json", drain)
+                applied = await deployment.apply()
+                began = time.monotonic()
+                while not await _in_force(deployment, applied.generation):
+                    await asyncio.sleep(0.005)
+                rows.append({"seconds": round(time.monotonic() - began, 3)})
+            return rows
+        finally:
+            deployment.stop()
+
+
+async def _in_force(deployment, generation):
+    found = await deployment.status()
+    return all(s and s["config"] == generation for s in found.values())
+
+
 def open_flows(entry):
     """Open flows with one request each for a while; return how many were served."""
     return asyncio.run(_open_flows(entry))
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -37,6 +37,7 @@
         "replica, members announced": (_replica, SIZES),
         "claims, keys": (_claims, KEY_SIZES),
         "journal, requests": (_journal, KEY_SIZES),
+        "configuration, services": (_configuration, SIZES),
     }
     found = {}
     for topic, (measure, sizes) in topics.items():
@@ -166,6 +167,27 @@
     }
 
 
+def _configuration(size):
+    """Bytes of a configuration, and processor time of taking one change of it."""
+    files = {}
+    for number in range(size):
+        name = f"service-{number:05}"
+        service = {"kind": "service", "name": name, "port": 1_024 + number}
+        rule = {"kind": "rule", "service": name, "targets": f"{name}-*"}
+        files[f"10-{name}.json"] = msgspec.json.encode(service).decode()
+        files[f"20-{name}.json"] = msgspec.json.encode(rule).decode()
+    replica = Replica()
+    rounds = 5
+    began = time.process_time()
+    for generation in range(1, rounds + 1):
+        replica.absorb(Snapshot(generation, files))
+    taken = (time.process_time() - began) / rounds
+    return {
+        "fetch_bytes": len(msgspec.json.encode(Snapshot(1, files))),
+        "cpu_ms_per_change": taken * 1e3,
+    }
+
+
 def _journal(size):
     """Memory of a journal."""
     tracemalloc.start()
