Drop the members of a cell that died as a whole

Cause: only the leader of a cell wrote its record, so a lost data centre (one cell today) stayed in every view for ever: new flows tried it, and unknown flows could not be refused. The leader of the next cell in the ring now reads the neighbour's lease; when it stands still for 6 s it probes the members and drops the silent ones by conditional update. Dropping on the lapsed lease alone was ruled out: a cell cut off from the object API only would lose live flows.

Before: the lost cell is never dropped (nothing in the code did).

--- a/src/ryesaddle/daemons/membership.py
+++ b/src/ryesaddle/daemons/membership.py
@@ -14,13 +14,17 @@
     FetchFromAnyone,
     FetchSnapshot,
     FollowStore,
+    ProbeMembers,
     ReadLease,
+    ReadNeighbourLease,
     SendHeartbeat,
     SendHeartbeatAck,
     WriteLease,
+    WriteNeighbourRecord,
     WriteRecord,
 )
 from ryesaddle.internal.membership.lease import Lease
+from ryesaddle.internal.membership.neighbour import Neighbour
 from ryesaddle.internal.membership.snapshot import (
     CellRecord,
     Delta,
@@ -34,6 +38,8 @@
     Heartbeat,
     HeartbeatAck,
     Leave,
+    Ping,
+    Pong,
     Resigned,
 )
 
@@ -77,6 +83,8 @@
         self._rng = rng
         self._tasks = set()
         self._mirrors = []
+        self._neighbour = Neighbour(cell.cell)
+        self._record_versions = {}
         self._fetching = False
         self._fetched = {}
         self._listeners = []
@@ -86,6 +94,7 @@
         peer.on(Beat, self._on_beat)
         peer.on(Leave, self._on_leave)
         peer.on(Resigned, self._on_resigned)
+        peer.on(Pong, self._on_pong)
         server.route("GET", "/snapshot", self._serve_snapshot)
 
     def listen(self, listener):
@@ -99,6 +108,9 @@
         try:
             while True:
                 self._perform(self.cell.tick(self._now()))
+                if self.cell.leads:
+                    cells = self.replica.snapshot.cells
+                    self._perform(self._neighbour.tick(cells, self._now()))
                 await asyncio.sleep(TICK_S)
         finally:
             for task in [*self._tasks, *self._mirrors]:
@@ -175,6 +187,13 @@
                     self._spawn(self._write_lease(lease, version))
                 case WriteRecord(record=record, version=version):
                     self._spawn(self._write_record(record, version))
+                case ReadNeighbourLease(cell=name):
+                    self._spawn(self._read_neighbour_lease(name))
+                case ProbeMembers(members=members):
+                    for member in members:
+                        self._peer.send_control(member.address, Ping())
+                case WriteNeighbourRecord(record=record):
+                    self._spawn(self._write_neighbour_record(record))
                 case FollowStore(wanted=wanted):
                     self._follow(wanted)
 
@@ -286,6 +305,30 @@
             warn(log, "record-not-written", cell=self.cell.cell, reason=exc)
         self.cell.record_written(ok, self._now())
 
+    async def _read_neighbour_lease(self, name):
+        try:
+            obj = await self._store.get(LEASES, name)
+        except StoreError:
+            return
+        version = obj.metadata.resource_version if obj else ""
+        cells = self.replica.snapshot.cells
+        self._perform(self._neighbour.lease_read(name, version, cells, self._now()))
+
+    async def _write_neighbour_record(self, record):
+        version = self._record_versions.get(record.cell)
+        if version is None:
+            return
+        spec = msgspec.to_builtins(record)
+        try:
+            await self._store.write(CELLS, record.cell, spec, version)
+        except StoreError as exc:
+            warn(log, "neighbour-not-written", cell=record.cell, reason=exc)
+            return
+        event(log, "neighbour-lost", cell=record.cell, left=len(record.members))
+
+    def _on_pong(self, datagram, body, addr):
+        self._neighbour.heard(datagram.sender)
+
     def _follow(self, wanted):
         for task in self._mirrors:
             task.cancel()
@@ -311,6 +354,7 @@
 
     def _on_cell(self, obj):
         record = msgspec.convert(obj.spec, CellRecord)
+        self._record_versions[record.cell] = obj.metadata.resource_version
         if record.cell == self.cell.cell:
             version = obj.metadata.resource_version
             self.cell.record_read(record, version, self._now())
--- a/src/ryesaddle/daemons/peer.py
+++ b/src/ryesaddle/daemons/peer.py
@@ -44,8 +44,11 @@
             self._transport.close()
 
     def on(self, kind, handler):
-        """Call ``handler(datagram, body, address)`` for each body of a type."""
-        self._handlers[kind] = handler
+        """Call ``handler(datagram, body, address)`` for each body of a type.
+
+        Several handlers may be added for one type.
+        """
+        self._handlers.setdefault(kind, []).append(handler)
 
     def send(self, address, body):
         """Send a `Forward` or `Answer`."""
@@ -75,11 +78,11 @@
             self._metrics.count("peer.dropped")
             self._log_dropped(addr, exc)
             return
-        handler = self._handlers.get(type(body))
-        if handler is None:
+        handlers = self._handlers.get(type(body), ())
+        if not handlers:
             self._metrics.count("peer.unhandled")
-            return
-        handler(datagram, body, addr)
+        for handler in handlers:
+            handler(datagram, body, addr)
 
     def _log_dropped(self, addr, exc):
         # A flood of forged datagrams must not become a flood of log lines.
--- a/src/ryesaddle/internal/membership/action.py
+++ b/src/ryesaddle/internal/membership/action.py
@@ -5,6 +5,7 @@
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.membership.lease import Lease
 from ryesaddle.internal.membership.snapshot import CellRecord
+from ryesaddle.internal.routing.member import Member
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +76,27 @@
     """Fetch the snapshot of some member of another cell and join it."""
 
 
+@dataclass(frozen=True, slots=True)
+class ReadNeighbourLease:
+    """Read the version of the lease object of another cell."""
+
+    cell: str
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeMembers:
+    """Ask members of another cell directly for a sign of life."""
+
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class WriteNeighbourRecord:
+    """Write the record of another cell over the version last seen of it."""
+
+    record: CellRecord
+
+
 @dataclass(frozen=True, slots=True)
 class FollowStore:
     """Start (or stop) following the object API for changes."""
--- a/tests/processes/test_store.py
+++ b/tests/processes/test_store.py
@@ -31,6 +31,20 @@
 
         await self.deployment.wait_until(in_force, "the configuration in force")
 
+    async def test_a_cell_that_is_lost_as_a_whole_is_dropped_by_its_neighbour(self):
+        lost = [
+            n for n, s in self.deployment._settings.items() if s["cell"] == "cell-1"
+        ]
+        for name in lost:
+            self.deployment.kill(name)
+
+        async def dropped():
+            found = await self.deployment.status()
+            return not set(found) & set(lost)
+
+        await self.deployment.wait_until(dropped, "the lost cell dropped")
+        self.assertEqual((await self.status_check()).status, 200)
+
     async def test_a_paused_leader_is_replaced_and_does_no_harm_afterwards(self):
         found = await self.deployment.status()
         leader = next(n for n, s in found.items() if s["leads"])
