Keep the answers of a flow on one balancer while it lives

Cause: answers went through the balancer last heard from, which changes with every datagram of the caller. Packets that overtake each other on different balancers look lost to QUIC, and the sender slows down; with a dead balancer many acknowledgements are missing as well.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,7 +12,12 @@
 from bench.broken import run_broken
 from bench.datapath import run_datapath, run_flow_memory
 from bench.placement import LOADS, POLICIES, run_overload, run_placement
-from bench.processes import run_changes, run_open_flows, run_processes
+from bench.processes import (
+    run_changes,
+    run_downloads,
+    run_open_flows,
+    run_processes,
+)
 from bench.slopes import run_slopes
 
 RESULTS = Path(__file__).parent / "results"
@@ -24,6 +29,7 @@
     "flow_memory": run_flow_memory,
     "slopes": run_slopes,
     "processes": run_processes,
+    "downloads": run_downloads,
     "open_flows": run_open_flows,
     "changes": run_changes,
 }
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -16,6 +16,8 @@
 SECONDS = 5.0
 OPEN_FLOWS = (25, 50, 100, 200, 400)
 CHANGES = 8
+DOWNLOADS = 9
+DOWNLOAD_BYTES = 8 * 1_048_576
 PACK_BYTES = 16 * 1_048_576
 CONCURRENT = 4
 
@@ -74,6 +76,39 @@
     return row
 
 
+def run_downloads():
+    """Return rows of download times through three balancers, then with one dead."""
+    return asyncio.run(_run_downloads())
+
+
+async def _run_downloads():
+    with tempfile.TemporaryDirectory(prefix="ryesaddle-bench-") as folder:
+        deployment = Deployment(Path(folder), {"case-desk": 1}, 3, 1, work_s=0.0)
+        try:
+            await deployment.start()
+            rows = [{"balancers": "3 alive", **await _downloads(deployment)}]
+            deployment.kill("balancer-1")
+            rows.append({"balancers": "1 of 3 dead", **await _downloads(deployment)})
+            return rows
+        finally:
+            deployment.stop()
+
+
+async def _downloads(deployment):
+    took = []
+    for _ in range(DOWNLOADS):
+        async with deployment.call("case-desk") as caller:
+            began = time.monotonic()
+            path = f"/pack?bytes={DOWNLOAD_BYTES}"
+            await caller.request("GET", path, timeout_s=120)
+            took.append(time.monotonic() - began)
+    took.sort()
+    return {
+        "median_s": round(took[len(took) // 2], 2),
+        "longest_s": round(took[-1], 2),
+    }
+
+
 def run_open_flows():
     """Return rows of the memory of one agent by the number of open flows."""
     return asyncio.run(_run_open_flows())
--- a/src/ryesaddle/internal/quic/flow.py
+++ b/src/ryesaddle/internal/quic/flow.py
@@ -24,7 +24,7 @@
     conn : ServerConnection
         The QUIC connection.
     caller, balancer : Address
-        Source of the flow, and the balancer last heard from.
+        Source of the flow, and the balancer its answers go through.
     now : float
         Seconds on a monotonic clock.
     """
@@ -34,6 +34,7 @@
         self.caller = caller
         self.balancer = balancer
         self.heard_at = now
+        self._through_at = now
         self.name = conn.host_cid.hex()
         self.flow_ids = {conn.host_cid, conn.original_destination_connection_id}
         self.retired_ids = set()
@@ -44,9 +45,16 @@
 
     def receive(self, payload, caller, balancer, now):
         """Feed one datagram of the caller."""
-        self.caller, self.balancer, self.heard_at = caller, balancer, now
+        self.caller, self.heard_at = caller, now
+        self._keep_balancer(balancer, now)
         self.conn.receive_datagram(payload, caller, now)
 
+    def _keep_balancer(self, balancer, now):
+        # Answers stay with one balancer while it lives: packets that take turns
+        # through several arrive out of order, which QUIC takes for loss.
+        if balancer == self.balancer or now - self._through_at > BALANCER_SILENCE_S:
+            self.balancer, self._through_at = balancer, now
+
     def events(self):
         """Yield HTTP/3 events and the QUIC events that end a stream or flow."""
         while (event := self.conn.next_event()) is not None:
