See a keyed submission to its end when its caller leaves

Cause: a caller that went away cancelled the exchange with the target, so the outcome of a submission that was running became unknown for good, and a repeat of its key got 504. Ruled out: doing the same for requests without a key, whose answer nobody can ask for again. Before: the repeat is answered 504, unknown; after: 201 with the first attempt's answer, and the target executed it once.

--- a/src/ryesaddle/daemons/agent.py
+++ b/src/ryesaddle/daemons/agent.py
@@ -301,7 +301,7 @@
 
     def _cancel(self, flow, stream_id):
         found = flow.exchanges.get(stream_id)
-        if found is not None:
+        if found is not None and not found[0].abandon():
             found[1].cancel()
 
     def _balancer_for(self, flow, now):
--- a/src/ryesaddle/daemons/exchange.py
+++ b/src/ryesaddle/daemons/exchange.py
@@ -9,7 +9,12 @@
 import msgspec
 
 from ryesaddle.daemons.claims import Acquired, HeldElsewhere, Unavailable
-from ryesaddle.daemons.header import OUTCOME_HEADER, answer_fields, error_fields
+from ryesaddle.daemons.header import (
+    OUTCOME_HEADER,
+    answer_fields,
+    error_fields,
+    target_fields,
+)
 from ryesaddle.daemons.request import MAX_BODY_BYTES
 from ryesaddle.daemons.stream import CallerGoneError
 from ryesaddle.daemons.upstream import end_to_end
@@ -53,6 +58,7 @@
         self._body = bytearray()
         self._body_done = asyncio.get_running_loop().create_future()
         self._answering = False
+        self._orphaned = False
         self._claim = None
         self._stored = None
         self._deadline = asyncio.get_running_loop().time() + req.timeout_s
@@ -84,6 +90,15 @@
         elif end:
             self._finish_body(True)
 
+    def abandon(self):
+        """Take the news that the caller has gone; return whether to go on.
+
+        A submission that is already at the target is seen to its end, so that a
+        repeat of its key is told what became of it.
+        """
+        self._orphaned = self._claim is not None and self._is_dispatched()
+        return self._orphaned
+
     async def run(self):
         """Handle the request to its end."""
         try:
@@ -188,7 +203,8 @@
             return False
         self._note(dispatched_at=time.time())
         self._log("place", reason="slot-free")
-        headers = end_to_end(req.headers)
+        left = self._deadline - asyncio.get_running_loop().time()
+        headers = target_fields(end_to_end(req.headers), left)
         async with self._agent.upstream.exchange(
             req.method, req.path, headers, bytes(self._body), req.is_safe
         ) as reply:
@@ -201,8 +217,10 @@
                 self._stored = StoredAnswer(
                     reply.status, fields, body, self._fingerprint()
                 )
-            await self._stream.finish()
-            self._end(Outcome.RAN, reply.status, "answered")
+            if not self._orphaned:
+                await self._stream.finish()
+            reason = "caller-gone" if self._orphaned else "answered"
+            self._end(Outcome.RAN, reply.status, reason)
             self._agent.health.succeeded()
         return True
 
@@ -232,14 +250,26 @@
     async def _pass_on(self, reply, fields):
         """Stream an answer to the caller; return its body if it is short."""
         self._answering = True
-        await self._stream.start(reply.status, [(k.lower(), v) for k, v in fields])
+        if not self._orphaned:
+            await self._stream.start(reply.status, [(k.lower(), v) for k, v in fields])
         kept = bytearray()
         async for chunk in reply.content.iter_chunked(CHUNK_BYTES):
             if len(kept) <= MAX_STORED_BYTES:
                 kept += chunk
-            await self._stream.write(chunk)
+            if not self._orphaned:
+                await self._write(chunk)
         return bytes(kept) if len(kept) <= MAX_STORED_BYTES else None
 
+    async def _write(self, chunk):
+        try:
+            await self._stream.write(chunk)
+        except CallerGoneError:
+            if not self.abandon():
+                raise
+
+    def _is_dispatched(self):
+        return self._entry.dispatched_at is not None
+
     def _fingerprint(self):
         """Return a digest of what makes this request the same as another."""
         digest = hashlib.blake2b(bytes(self._body), digest_size=16)
@@ -249,14 +279,15 @@
     def _fate(self):
         if self._entry.outcome is not Outcome.PENDING:
             return self._entry.outcome
-        handed = self._entry.dispatched_at is not None
         # Without its claim, an earlier attempt with the same key may have run, so
         # the caller must not be told that the request did not.
         unsettled = bool(self._req.key) and self._claim is None
-        return Outcome.UNKNOWN if handed or unsettled else Outcome.NOT_RUN
+        if self._is_dispatched() or unsettled:
+            return Outcome.UNKNOWN
+        return Outcome.NOT_RUN
 
     def _give_up(self, reason, status):
-        if self._entry.dispatched_at is None:
+        if not self._is_dispatched():
             retry_after_s = self._agent.gate.retry_after()
             self._answer_error(503, self._fate(), reason, retry_after_s)
         else:
@@ -267,7 +298,7 @@
 
     def _answer_error(self, status, outcome, reason, retry_after_s=None):
         self._end(outcome, status, reason)
-        if self._stream.closed:
+        if self._stream.closed or self._orphaned:
             return
         if self._answering:
             # Part of an answer is out: only a reset tells the caller that it is
--- a/src/ryesaddle/daemons/header.py
+++ b/src/ryesaddle/daemons/header.py
@@ -5,6 +5,21 @@
 PROXY_NAME = "ryesaddle"
 OUTCOME_HEADER = "ryesaddle-outcome"
 REQUEST_ID_HEADER = "x-request-id"
+TIMEOUT_HEADER = "x-request-timeout"
+
+
+def target_fields(fields, left_s):
+    """Return the header fields of a request to the target.
+
+    Parameters
+    ----------
+    fields : iterable of (str, str)
+        End-to-end header fields of the caller.
+    left_s : float
+        Seconds that are left until the deadline.
+    """
+    kept = [(k, v) for k, v in fields if k.lower() != TIMEOUT_HEADER]
+    return [*kept, (TIMEOUT_HEADER, f"{max(left_s, 0.0):.3f}")]
 
 
 def answer_fields(fields, request_id, length=None):
--- a/src/ryesaddle/daemons/request.py
+++ b/src/ryesaddle/daemons/request.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ryesaddle.daemons.header import REQUEST_ID_HEADER, TIMEOUT_HEADER
+
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 MAX_BODY_BYTES = 1_048_576
 
@@ -47,12 +49,12 @@
     method = pseudo.get(":method", "GET")
     key = by_name.get("idempotency-key", "").strip('"')
     return Request(
-        request_id=by_name.get("x-request-id") or uuid.uuid4().hex,
+        request_id=by_name.get(REQUEST_ID_HEADER) or uuid.uuid4().hex,
         method=method,
         path=pseudo.get(":path", "/"),
         headers=headers,
         key="" if method in SAFE_METHODS else key,
-        timeout_s=_seconds(by_name.get("x-request-timeout"), default_timeout_s),
+        timeout_s=_seconds(by_name.get(TIMEOUT_HEADER), default_timeout_s),
     )
 
 
--- a/tests/processes/test_submissions.py
+++ b/tests/processes/test_submissions.py
@@ -23,6 +23,17 @@
         self.assertEqual((other.status, other.outcome), (422, "not-run"))
         self.assertEqual(await self.executions("case-7"), 1)
 
+    async def test_a_submission_whose_caller_leaves_is_seen_to_its_end(self):
+        headers = [("idempotency-key", '"case-6"'), ("x-request-id", "six-0")]
+        async with self.deployment.call("case-desk") as caller:
+            caller.send("POST", "/reply?seconds=2", headers, b"hardship")
+            await self.agent_with_running_request()
+        reply = await self.submit("case-6", "six-1", seconds=2)
+        self.assertEqual((reply.status, reply.outcome), (201, "ran"))
+        self.assertEqual(await self.executions("case-6"), 1)
+        trace = await self.deployment.trace("six-0")
+        self.assertEqual([e.outcome for e in trace.entries], ["ran"])
+
     async def test_a_killed_agent_leads_to_no_second_run_and_no_false_word(self):
         first = await self.later(self.submit("case-8", "eight-0", 6.0, seconds=4))
         agent = await self.agent_with_running_request()
--- a/tests/support/caller.py
+++ b/tests/support/caller.py
@@ -113,6 +113,7 @@
         waiter = self._waiters.get(stream_id)
         if waiter is not None and not waiter.done():
             waiter.set_exception(exc)
+            waiter.exception()  # A request that nobody waits for may fail quietly.
 
     def _fail_all(self, exc):
         for stream_id in list(self._waiters):
