Send configuration changes file by file

Cause: every change made each member fetch all configuration files, 198 bytes a service. A replica now keeps the last 64 changes and sends those that the other has not seen; changes that do not apply are left out and everything is fetched the next time (test_changes_that_do_not_apply_are_left_out).

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -180,13 +180,18 @@
         files[f"10-{name}.json"] = msgspec.json.encode(service).decode()
         files[f"20-{name}.json"] = msgspec.json.encode(rule).decode()
     replica = Replica()
-    rounds = 5
+    replica.absorb(Snapshot(1, files))
+    rounds = 10
     began = time.process_time()
-    for generation in range(1, rounds + 1):
+    for generation in range(2, rounds + 2):
+        drain = {"kind": "drain", "target": f"target-{generation}"}
+        files = {**files, "90.json": msgspec.json.encode(drain).decode()}
         replica.absorb(Snapshot(generation, files))
     taken = (time.process_time() - began) / rounds
+    delta = replica.since(replica.version - 1)
     return {
         "fetch_bytes": len(msgspec.json.encode(Snapshot(1, files))),
+        "delta_bytes": len(msgspec.json.encode(delta)),
         "cpu_ms_per_change": taken * 1e3,
     }
 
--- a/src/ryesaddle/daemons/membership.py
+++ b/src/ryesaddle/daemons/membership.py
@@ -259,7 +259,10 @@
             if data is not None:
                 delta = msgspec.json.decode(data, type=Delta)
                 self.absorb(delta.snapshot)
-                self._fetched[address] = (delta.incarnation, delta.version)
+                seen = (delta.incarnation, delta.version)
+                if delta.snapshot.generation > self.replica.snapshot.generation:
+                    seen = (0, 0)  # The changes did not apply: fetch all next time.
+                self._fetched[address] = seen
         finally:
             self._fetching = False
 
--- a/src/ryesaddle/internal/config/folder.py
+++ b/src/ryesaddle/internal/config/folder.py
@@ -1,5 +1,6 @@
 """Reads, checks and merges the files of a configuration folder."""
 
+from functools import lru_cache
 from pathlib import Path
 
 import msgspec
@@ -15,6 +16,7 @@
 )
 
 STATE_FILE = ".ryesaddle.json"
+DECODED_FILES = 65_536
 MAX_FOLDER_BYTES = 900_000  # the object API holds values up to 1 MB
 
 _decoder = msgspec.json.Decoder(FolderFile)
@@ -80,6 +82,12 @@
     )
 
 
+@lru_cache(maxsize=DECODED_FILES)
+def _decode(text):
+    # Most files of a new generation are those of the generation before.
+    return _decoder.decode(text)
+
+
 class _Merge:
     def __init__(self):
         self.problems = []
@@ -91,7 +99,7 @@
 
     def decode(self, name, text):
         try:
-            return _decoder.decode(text)
+            return _decode(text)
         except msgspec.DecodeError as exc:
             self.problems.append(f"{name}: {exc}; see docs/configuration.md")
             return None
--- a/src/ryesaddle/internal/membership/snapshot.py
+++ b/src/ryesaddle/internal/membership/snapshot.py
@@ -1,15 +1,19 @@
 """The shared state that each process holds a replica of."""
 
+from collections import deque
 from dataclasses import dataclass, field
 
 import msgspec
 import xxhash
 
+from ryesaddle.internal.config.change import compare
 from ryesaddle.internal.config.configuration import Configuration
 from ryesaddle.internal.config.folder import merge
 from ryesaddle.internal.routing.member import Member
 from ryesaddle.internal.routing.view import ServiceView
 
+MAX_HISTORY = 64
+
 
 class CellRecord(msgspec.Struct, frozen=True):
     """The members that one cell has announced.
@@ -32,6 +36,25 @@
     members: tuple[Member, ...] = ()
 
 
+class FilesChange(msgspec.Struct, frozen=True):
+    """The configuration files that differ between two generations.
+
+    Attributes
+    ----------
+    base, generation : int
+        Generation that the change applies to, and the one it leads to.
+    put : dict of str to str
+        New text by file name, of added and altered files.
+    removed : tuple of str
+        Names of removed files.
+    """
+
+    base: int
+    generation: int
+    put: dict[str, str]
+    removed: tuple[str, ...] = ()
+
+
 class Snapshot(msgspec.Struct, frozen=True):
     """The configuration files and the records of all cells.
 
@@ -48,15 +71,24 @@
         Configuration files by name.
     cells : dict of str to CellRecord
         Cell records by cell name.
+    changes : tuple of FilesChange
+        In place of ``files``, the changes that lead to ``generation``; only in
+        what one replica sends to another.
     """
 
     generation: int = 0
     files: dict[str, str] = {}
     cells: dict[str, CellRecord] = {}
+    changes: tuple[FilesChange, ...] = ()
 
     def join(self, other):
-        """Return the least snapshot that includes both."""
-        newer = other if other.generation > self.generation else self
+        """Return the least snapshot that includes both.
+
+        Changes of ``other`` that do not apply to these files are left out.
+        """
+        newer = self
+        if other.generation > self.generation:
+            newer = self._changed(other.changes) if other.changes else other
         cells = dict(self.cells)
         for name, record in other.cells.items():
             held = cells.get(name)
@@ -64,6 +96,14 @@
                 cells[name] = record
         return Snapshot(newer.generation, newer.files, cells)
 
+    def _changed(self, changes):
+        generation, files = self.generation, self.files
+        for change in changes:
+            if change.base == generation:
+                kept = {k: v for k, v in files.items() if k not in change.removed}
+                generation, files = change.generation, {**kept, **change.put}
+        return Snapshot(generation, files)
+
     def digest(self):
         """Return an integer that differs between different snapshots."""
         parts = [f"config={self.generation}"]
@@ -114,6 +154,7 @@
     views: dict[str, ServiceView] = field(default_factory=dict)
     _learned_cells: dict[str, int] = field(default_factory=dict)
     _learned_files: int = 0
+    _history: deque = field(default_factory=lambda: deque(maxlen=MAX_HISTORY))
 
     def absorb(self, other):
         """Join ``other`` into the replica; return whether anything changed."""
@@ -123,6 +164,8 @@
         if joined.generation != self.snapshot.generation:
             self.cfg = merge(joined.files, joined.generation)
             self._learned_files = self.version + 1
+            change = _files_change(self.snapshot, joined)
+            self._history.append((self._learned_files, change))
         for name, record in joined.cells.items():
             if record != self.snapshot.cells.get(name):
                 self._learned_cells[name] = self.version + 1
@@ -143,9 +186,14 @@
             for name, record in snapshot.cells.items()
             if self._learned_cells[name] > version
         }
-        if self._learned_files > version:
-            return Snapshot(snapshot.generation, snapshot.files, cells)
-        return Snapshot(cells=cells)
+        if self._learned_files <= version:
+            return Snapshot(cells=cells)
+        changes = tuple(change for at, change in self._history if at > version)
+        # The changes lead on from what the other replica has only if it has seen
+        # this one before and none of them was pushed out.
+        if version and len(changes) < MAX_HISTORY:
+            return Snapshot(snapshot.generation, {}, cells, changes)
+        return Snapshot(snapshot.generation, snapshot.files, cells)
 
     def _views(self):
         grouped = {}
@@ -162,3 +210,10 @@
         )
         generations = {c.cell: c.generation for c in self.snapshot.cells.values()}
         return ServiceView(service, self.version, tuple(members), closed, generations)
+
+
+def _files_change(old, new):
+    change = compare(old.files, new.files)
+    return FilesChange(
+        old.generation, new.generation, change.put, tuple(sorted(change.removed))
+    )
--- a/tests/membership/test_snapshot.py
+++ b/tests/membership/test_snapshot.py
@@ -66,6 +66,21 @@
                 self.assertEqual(follower.snapshot, leader.snapshot)
         follower.absorb(leader.since(known))
         self.assertEqual(follower.snapshot, leader.snapshot)
+        self.assertEqual(follower.cfg, leader.cfg)
+
+    @given(st.lists(snapshots, max_size=6), st.lists(snapshots, max_size=6), snapshots)
+    def test_changes_that_do_not_apply_are_left_out(self, early, late, mine):
+        leader, other = Replica(), Replica()
+        other.absorb(mine)
+        for snapshot in early:
+            leader.absorb(snapshot)
+        known = leader.version
+        for snapshot in late:
+            leader.absorb(snapshot)
+        other.absorb(leader.since(known))
+        generation = other.snapshot.generation
+        self.assertIn(generation, (mine.generation, leader.snapshot.generation))
+        self.assertEqual(other.snapshot.files, files(generation))
 
     @given(st.lists(snapshots, max_size=10))
     def test_a_replica_never_returns_to_an_older_configuration(self, found):
