Split the agent and the membership task, wait for relayed requests

Flows (QUIC flows and their requests) and Replication (the shared state) are tasks of their own now. Found while reading: a stop did not wait for requests that other agents had relayed here, nor for submissions whose caller had left; both count as in progress now.

--- a/src/ryesaddle/cli/desk.py
+++ b/src/ryesaddle/cli/desk.py
@@ -9,7 +9,11 @@
 import msgspec
 
 from ryesaddle.daemons.control import ControlClient, bearer
-from ryesaddle.daemons.membership import CELLS, CONFIGURATION_NAME, CONFIGURATIONS
+from ryesaddle.daemons.replication import (
+    CELLS,
+    CONFIGURATION_NAME,
+    CONFIGURATIONS,
+)
 from ryesaddle.errors import ConflictError, FolderError, RaceError
 from ryesaddle.internal.config.change import Change, compare, rebase
 from ryesaddle.internal.config.folder import STATE_FILE, merge, read_folder
--- a/src/ryesaddle/daemons/agent.py
+++ b/src/ryesaddle/daemons/agent.py
@@ -1,35 +1,24 @@
 """The agent: owns the flows of the target beside it."""
 
 import asyncio
-import itertools
 import logging
 
 import msgspec
-from aioquic.h3.connection import ErrorCode
-from aioquic.h3.events import DataReceived, HeadersReceived
-from aioquic.quic.events import (
-    ConnectionTerminated,
-    StopSendingReceived,
-    StreamReset,
-)
 
 from ryesaddle.daemons.certificate import CertificateWatch
 from ryesaddle.daemons.claims import Claims
 from ryesaddle.daemons.control import json_answer
-from ryesaddle.daemons.exchange import Exchange
+from ryesaddle.daemons.flows import Flows
 from ryesaddle.daemons.gate import Gate
 from ryesaddle.daemons.membership import running
 from ryesaddle.daemons.node import compose_node, stop_event
 from ryesaddle.daemons.relay import Relay
-from ryesaddle.daemons.request import decode_request
-from ryesaddle.daemons.stream import FlowStream
 from ryesaddle.daemons.upstream import Upstream
 from ryesaddle.daemons.views import ClaimViews
 from ryesaddle.internal.admission.admission import Admission
 from ryesaddle.internal.admission.health import Health
 from ryesaddle.internal.config.model import Limits
 from ryesaddle.internal.journal.journal import Journal
-from ryesaddle.internal.journal.outcome import Outcome
 from ryesaddle.internal.log import event
 from ryesaddle.internal.quic.endpoint import Endpoint, make_configuration
 from ryesaddle.internal.quic.packet import read_packet
@@ -50,11 +39,10 @@
 INTRODUCE_S = 0.5
 STOP_POLL_S = 0.05
 STOP_LINGER_S = 1.0
-CALLER_SILENCE_S = 3.0
 
 
 class Agent:
-    """Terminates QUIC and HTTP/3 for the callers of one target.
+    """Routes datagrams among the agents of a service, and serves its own flows.
 
     Parameters
     ----------
@@ -82,24 +70,17 @@
         self.upstream = upstream
         self.journal = Journal()
         self.health = Health()
-        self._endpoint = endpoint
+        self.flows = Flows(self, endpoint)
         self._owner = owner
         self._announced = node.me
         self._tokens = ResetTokens(node.peer_key)
-        self._attempts = itertools.count(1)
-        self._timers = {}
-        self._tasks = set()
         node.peer.on(Forward, self._on_forward)
         node.peer.on(Introduce, self._on_introduce)
         node.peer.on(IntroduceAck, self._on_introduce_ack)
         node.server.route("GET", "/status", self._status)
         node.server.route("GET", "/requests/{request_id}", self._trace)
         node.membership.listen(self._on_change)
-        relay.serve(self)
-
-    def next_attempt(self):
-        """Return a number that names an attempt in this run of the agent."""
-        return next(self._attempts)
+        relay.serve(self.flows.run_relayed)
 
     def takes_new_work(self):
         """Whether the target may be handed a new request."""
@@ -112,44 +93,13 @@
         """Count a request that the target failed."""
         self.health.failed(self._now())
 
-    def transmit(self, flow):
-        """Send what a flow has queued and arm its timer."""
-        now = self._now()
-        through = self._balancer_for(flow, now)
-        for payload, _ in flow.conn.datagrams_to_send(now):
-            answer = Answer(self.node.me.service, flow.caller, payload)
-            self.node.peer.send(through, answer)
-            self.node.metrics.count("agent.answered")
-        self._endpoint.index(flow)
-        self._arm(flow)
-
-    async def introduce(self):
-        """Make this agent known to the others of its service, until cancelled."""
+    async def keep_known(self):
+        """Tell the others of this agent and its health, until cancelled."""
         while True:
-            self._introduce_once()
+            self._introduce()
             self._announce_health()
             await asyncio.sleep(INTRODUCE_S)
 
-    def _announce_health(self):
-        failing = self.health.is_failing(self._now())
-        if failing != self._announced.failing:
-            self._announce(failing=failing)
-            event(log, "health", target=self.node.me.target, failing=failing)
-
-    def _announce(self, **changes):
-        self._announced = msgspec.structs.replace(self._announced, **changes)
-        self.node.membership.announce(self._announced)
-
-    def _introduce_once(self):
-        node = self.node
-        cell = node.settings.cell
-        record = node.membership.replica.snapshot.cells.get(cell)
-        if record is None or node.me.node not in {m.node for m in record.members}:
-            return
-        msg = Introduce(node.me, cell, record.generation)
-        for member in self._owner.unacknowledged():
-            node.peer.send_control(member.address, msg)
-
     async def drain(self, limit_s):
         """Take no new work and wait for requests in progress.
 
@@ -161,42 +111,25 @@
         Returns
         -------
         int
-            Flows with requests still in progress at the limit.
+            Requests that were still in progress at the limit.
         """
         self._owner.draining = True
         self._announce(draining=True)
         deadline = self._now() + limit_s
         await asyncio.sleep(STOP_LINGER_S)
-        while self._is_busy() and self._now() < deadline:
+        while self._is_needed() and self._now() < deadline:
             await asyncio.sleep(STOP_POLL_S)
-        left = sum(self._in_progress(flow) for flow in self._endpoint.flows)
-        for flow in self._endpoint.flows:
-            flow.conn.close(error_code=ErrorCode.H3_NO_ERROR)
-            self.transmit(flow)
+        left = self.flows.in_progress()
+        self.flows.end()
         return left
 
-    def _is_busy(self):
+    def _is_needed(self):
         # A member of the claim view stays until its claims are handed over, if
         # there is another agent to take them.
         view = self._owner.view
         alone = view is None or all(m.draining for m in view.members)
-        holds = self.claims.acceptor.is_active(self._now()) and not alone
-        return holds or any(self._in_progress(flow) for flow in self._endpoint.flows)
-
-    def _in_progress(self, flow):
-        # A caller that acknowledges nothing although its answer is being sent
-        # again has gone; only its connection's time-out is left to wait for.
-        if self._now() - flow.heard_at < CALLER_SILENCE_S:
-            return bool(flow.exchanges)
-        outcomes = [exchange.outcome for exchange, _ in flow.exchanges.values()]
-        return Outcome.PENDING in outcomes
-
-    def close(self):
-        """Stop all timers and tasks."""
-        for timer in self._timers.values():
-            timer.cancel()
-        for task in self._tasks:
-            task.cancel()
+        holds_claims = self.claims.acceptor.is_active(self._now())
+        return (holds_claims and not alone) or self.flows.in_progress() > 0
 
     def _now(self):
         return asyncio.get_running_loop().time()
@@ -206,12 +139,12 @@
         if info is None:
             self.node.metrics.count("agent.not_quic")
             return
-        flow = self._endpoint.find(info.flow_id)
-        arrival = Arrival(fwd, flow is not None, info.opens, info.flow_id)
+        owned = self.flows.find(info) is not None
+        arrival = Arrival(fwd, owned, info.opens, info.flow_id)
         decision = self._owner.decide(arrival, self.gate.admission.load)
         match decision:
             case Accept():
-                self._accept(flow, info, fwd, decision)
+                self.flows.receive(info, fwd)
             case PassOn():
                 self._pass_on(fwd, decision)
             case Refuse():
@@ -221,18 +154,6 @@
         if decision.reason != "owned":
             self._log_decision(fwd, decision)
 
-    def _accept(self, flow, info, fwd, decision):
-        now = self._now()
-        if flow is None:
-            version_answer = self._endpoint.negotiate_version(info)
-            if version_answer is not None:
-                self._answer(fwd, version_answer)
-                return
-            flow = self._endpoint.open(info, fwd.caller, fwd.balancer, now)
-            self.node.metrics.count("agent.opened")
-        flow.receive(fwd.payload, fwd.caller, fwd.balancer, now)
-        self._pump(flow)
-
     def _pass_on(self, fwd, decision):
         member = decision.member
         passed = Forward(
@@ -256,78 +177,28 @@
             return
         reset = self._tokens.datagram(info.flow_id, len(fwd.payload))
         if reset is not None:
-            self._answer(fwd, reset)
+            answer = Answer(fwd.service, fwd.caller, reset)
+            self.node.peer.send(fwd.balancer, answer)
 
-    def _answer(self, fwd, payload):
-        answer = Answer(fwd.service, fwd.caller, payload)
-        self.node.peer.send(fwd.balancer, answer)
+    def _announce(self, **changes):
+        self._announced = msgspec.structs.replace(self._announced, **changes)
+        self.node.membership.announce(self._announced)
 
-    def _pump(self, flow):
-        for item in flow.events():
-            match item:
-                case HeadersReceived():
-                    self._on_headers(flow, item)
-                case DataReceived():
-                    exchange = flow.exchanges.get(item.stream_id)
-                    if exchange is not None:
-                        exchange[0].feed(item.data, item.stream_ended)
-                case StreamReset() | StopSendingReceived():
-                    self._cancel(flow, item.stream_id)
-                case ConnectionTerminated():
-                    for stream_id in list(flow.exchanges):
-                        self._cancel(flow, stream_id)
-        self.transmit(flow)
+    def _announce_health(self):
+        failing = self.health.is_failing(self._now())
+        if failing != self._announced.failing:
+            self._announce(failing=failing)
+            event(log, "health", target=self.node.me.target, failing=failing)
 
-    def _on_headers(self, flow, item):
-        if item.stream_id in flow.exchanges:
-            flow.exchanges[item.stream_id][0].feed(b"", item.stream_ended)
+    def _introduce(self):
+        node = self.node
+        cell = node.settings.cell
+        record = node.membership.replica.snapshot.cells.get(cell)
+        if record is None or node.me.node not in {m.node for m in record.members}:
             return
-        limits = self.gate.admission.limits
-        req = decode_request(item.headers, limits.request_timeout_s)
-        stream = FlowStream(flow, item.stream_id, self.transmit)
-        exchange = Exchange(self, stream, req, self.next_attempt())
-        if item.stream_ended:
-            exchange.feed(b"", True)
-        task = asyncio.get_running_loop().create_task(exchange.run())
-        flow.exchanges[item.stream_id] = (exchange, task)
-        self._tasks.add(task)
-        task.add_done_callback(lambda done: self._on_done(flow, item.stream_id, done))
-
-    def _on_done(self, flow, stream_id, task):
-        self._tasks.discard(task)
-        flow.exchanges.pop(stream_id, None)
-        if not task.cancelled() and task.exception() is not None:
-            log.error("exchange-failed", exc_info=task.exception())
-
-    def _cancel(self, flow, stream_id):
-        found = flow.exchanges.get(stream_id)
-        if found is not None and not found[0].abandon():
-            found[1].cancel()
-
-    def _balancer_for(self, flow, now):
-        if not flow.answers_stalled(now):
-            return flow.balancer
-        members = self.node.membership.replica.snapshot.members()
-        others = [
-            m.address
-            for m in members
-            if not m.service and not m.draining and m.address != flow.balancer
-        ]
-        return self.node.rng.choice(others) if others else flow.balancer
-
-    def _arm(self, flow):
-        timer = self._timers.pop(flow, None)
-        if timer is not None:
-            timer.cancel()
-        when = flow.conn.get_timer()
-        if when is not None and not flow.closed:
-            loop = asyncio.get_running_loop()
-            self._timers[flow] = loop.call_at(when, self._on_timer, flow)
-
-    def _on_timer(self, flow):
-        self._timers.pop(flow, None)
-        flow.conn.handle_timer(self._now())
-        self._pump(flow)
+        msg = Introduce(node.me, cell, record.generation)
+        for member in self._owner.unacknowledged():
+            node.peer.send_control(member.address, msg)
 
     def _on_introduce(self, datagram, body, addr):
         if self._owner.introduced(body.member, body.cell, body.generation):
@@ -360,24 +231,18 @@
         )
 
     async def _status(self, req):
-        replica = self.node.membership.replica
         admission = self.gate.admission
         return json_answer(
             {
-                "node": self.node.me.node,
-                "role": "agent",
+                **self.node.status("agent"),
                 "service": self.node.me.service,
                 "target": self.node.me.target,
-                "config": replica.snapshot.generation,
                 "open": self._owner.is_open(),
                 "holds_claims": self.claims.acceptor.is_active(self._now()),
                 "draining": not self.takes_new_work(),
-                "flows": len(self._endpoint.flows),
+                "flows": len(self.flows),
                 "running": admission.running,
                 "load": admission.load,
-                "leads": self.node.membership.cell.leads,
-                "counts": dict(self.node.metrics.counts),
-                "store_calls": self.node.store.calls,
             }
         )
 
@@ -406,7 +271,7 @@
             node.membership.run(),
             node.metrics.run(),
             gate.run(),
-            agent.introduce(),
+            agent.keep_known(),
             claims.run(),
             views.run(),
             certificates.run(),
@@ -419,7 +284,7 @@
         # The cell's tasks have ended, so the lease is not renewed after this.
         await node.membership.resign()
     finally:
-        agent.close()
+        agent.flows.close()
         await upstream.close()
         await node.close()
     event(log, "stopped", node=node.me.node)
--- a/src/ryesaddle/daemons/balancer.py
+++ b/src/ryesaddle/daemons/balancer.py
@@ -30,12 +30,15 @@
     ----------
     service : str
         Name of the service.
+    port : int
+        The port.
     on_datagram : callable
         Called with the service, the payload and the caller's address.
     """
 
-    def __init__(self, service, on_datagram):
+    def __init__(self, service, port, on_datagram):
         self.service = service
+        self.port = port
         self._on_datagram = on_datagram
         self._transport = None
 
@@ -168,8 +171,7 @@
                 await self._open_socket(name, wanted[name])
 
     async def _open_socket(self, name, port):
-        sock = ServiceSocket(name, self._on_datagram)
-        sock.port = port
+        sock = ServiceSocket(name, port, self._on_datagram)
         address = Address(self._node.settings.service_host, port)
         try:
             await open_udp(sock, address, "service_host")
@@ -180,17 +182,11 @@
         event(log, "service-opened", service=name, address=address)
 
     async def _status(self, req):
-        replica = self._node.membership.replica
         return json_answer(
             {
-                "node": self._node.me.node,
-                "role": "balancer",
-                "config": replica.snapshot.generation,
+                **self._node.status("balancer"),
                 "services": sorted(self._sockets),
                 "flows": len(self._dispatcher),
-                "leads": self._node.membership.cell.leads,
-                "counts": dict(self._node.metrics.counts),
-                "store_calls": self._node.store.calls,
             }
         )
 
--- a/src/ryesaddle/daemons/membership.py
+++ b/src/ryesaddle/daemons/membership.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from ryesaddle.daemons.control import json_answer
-from ryesaddle.errors import ConflictError, FolderError, StoreError
+from ryesaddle.daemons.replication import CELLS
+from ryesaddle.errors import ConflictError, StoreError
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.log import event, warn
 from ryesaddle.internal.membership.action import (
@@ -25,13 +25,6 @@
 )
 from ryesaddle.internal.membership.lease import Lease
 from ryesaddle.internal.membership.neighbour import Neighbour
-from ryesaddle.internal.membership.snapshot import (
-    CellRecord,
-    Delta,
-    Replica,
-    Snapshot,
-)
-from ryesaddle.internal.store.mirror import Mirror
 from ryesaddle.internal.wire.control import (
     Beat,
     Changed,
@@ -47,64 +40,59 @@
 
 TICK_S = 0.1
 LEASES = "leases"
-CELLS = "cells"
-CONFIGURATIONS = "configurations"
-CONFIGURATION_NAME = "current"
 
 
 class Membership:
-    """Owns the `CellMember` and `Replica` of a process and performs their actions.
+    """Owns the `CellMember` of a process and performs its actions.
 
     Parameters
     ----------
     cell : CellMember
         Decides.
+    replication : Replication
+        The shared state.
     peer : PeerSocket
         Carries heartbeats.
     store : StoreClient
         Client of the object API.
-    control : ControlClient
-        Fetches what other members have learned.
-    server : ControlServer
-        Serves what this one has learned.
     seeds : sequence of Address
         Control addresses to ask first, for a start while the store is away.
     rng : random.Random
-        Source of jitter.
+        Source of choice.
     """
 
-    def __init__(self, cell, peer, store, control, server, seeds, rng):
+    def __init__(self, cell, replication, peer, store, seeds, rng):
         self.cell = cell
-        self.replica = Replica()
+        self._replication = replication
+        self._neighbour = Neighbour(cell.cell)
         self._peer = peer
         self._store = store
-        self._control = control
         self._seeds = seeds
         self._rng = rng
         self._tasks = set()
-        self._mirrors = []
-        self._neighbour = Neighbour(cell.cell)
-        self._record_versions = {}
-        self._fetching = False
-        self._fetched = {}
-        self._listeners = []
+        replication.listen(self._on_change)
+        replication.listen_record(self._on_record)
         peer.on(Heartbeat, self._on_heartbeat)
+        peer.on(Beat, self._on_beat)
         peer.on(HeartbeatAck, self._on_ack)
         peer.on(Changed, self._on_changed)
-        peer.on(Beat, self._on_beat)
         peer.on(Leave, self._on_leave)
         peer.on(Resigned, self._on_resigned)
         peer.on(Pong, self._on_pong)
-        server.route("GET", "/snapshot", self._serve_snapshot)
+
+    @property
+    def replica(self):
+        """The `Replica` of this process."""
+        return self._replication.replica
 
     def listen(self, listener):
         """Call ``listener()`` after each change of the replica."""
-        self._listeners.append(listener)
+        self._replication.listen(listener)
 
     async def run(self):
         """Tick until cancelled."""
         for seed in self._seeds:
-            self._spawn(self._fetch(seed))
+            self._spawn(self._replication.fetch(seed))
         try:
             while True:
                 self._perform(self.cell.tick(self._now()))
@@ -113,7 +101,8 @@
                     self._perform(self._neighbour.tick(cells, self._now()))
                 await asyncio.sleep(TICK_S)
         finally:
-            for task in [*self._tasks, *self._mirrors]:
+            self._replication.close()
+            for task in self._tasks:
                 task.cancel()
 
     def announce(self, me):
@@ -142,28 +131,6 @@
                 self.cell.leader.address, Leave(me.node, me.incarnation)
             )
 
-    def absorb(self, snapshot):
-        """Join a snapshot and tell the listeners and the cell."""
-        try:
-            changed = self.replica.absorb(snapshot)
-        except FolderError as exc:
-            # Somebody wrote past the checks of apply; members still count.
-            warn(log, "configuration-refused", reason=exc)
-            changed = self.replica.absorb(Snapshot(cells=snapshot.cells))
-        if not changed:
-            return
-        event(
-            log,
-            "snapshot",
-            version=self.replica.version,
-            config=self.replica.snapshot.generation,
-            members=sum(1 for _ in self.replica.snapshot.members()),
-        )
-        for listener in self._listeners:
-            listener()
-        if self.cell.leads:
-            self._notify()
-
     def _now(self):
         return asyncio.get_running_loop().time()
 
@@ -178,7 +145,7 @@
                     digest = self.replica.snapshot.digest()
                     self._peer.send_control(address, HeartbeatAck(term, digest, held))
                 case FetchSnapshot(address=address):
-                    self._spawn(self._fetch(address))
+                    self._spawn(self._replication.fetch(address))
                 case FetchFromAnyone():
                     self._fetch_from_anyone()
                 case ReadLease():
@@ -195,18 +162,26 @@
                 case WriteNeighbourRecord(record=record):
                     self._spawn(self._write_neighbour_record(record))
                 case FollowStore(wanted=wanted):
-                    self._follow(wanted)
+                    self._replication.follow(wanted)
 
     def _spawn(self, coro):
         task = asyncio.get_running_loop().create_task(coro)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _notify(self):
+    def _on_change(self):
+        if not self.cell.leads:
+            return
         changed = Changed(self.cell.term, self.replica.snapshot.digest())
         for member in self.cell.followers():
             self._peer.send_control(member.address, changed)
 
+    def _on_record(self, record, version):
+        if record is None:
+            self.cell.record_absent()
+        else:
+            self.cell.record_read(record, version, self._now())
+
     def _on_heartbeat(self, datagram, body, addr):
         self._perform(self.cell.heartbeat(body.member, self._now()))
 
@@ -236,42 +211,19 @@
     def _on_leave(self, datagram, body, addr):
         self.cell.leave(body.node, body.incarnation)
 
+    def _on_pong(self, datagram, body, addr):
+        self._neighbour.heard(datagram.sender)
+
     def _fetch_from_anyone(self):
-        cells = self.replica.snapshot.cells
         others = [
             member.control
-            for name, record in cells.items()
+            for name, record in self.replica.snapshot.cells.items()
             if name != self.cell.cell
             for member in record.members
         ]
         choices = others or list(self._seeds)
         if choices:
-            self._spawn(self._fetch(self._rng.choice(choices)))
-
-    async def _fetch(self, address):
-        if self._fetching:
-            return
-        self._fetching = True
-        incarnation, version = self._fetched.get(address, (0, 0))
-        path = f"/snapshot?of={incarnation}&since={version}"
-        try:
-            data = await self._control.get(address, path)
-            if data is not None:
-                delta = msgspec.json.decode(data, type=Delta)
-                self.absorb(delta.snapshot)
-                seen = (delta.incarnation, delta.version)
-                if delta.snapshot.generation > self.replica.snapshot.generation:
-                    seen = (0, 0)  # The changes did not apply: fetch all next time.
-                self._fetched[address] = seen
-        finally:
-            self._fetching = False
-
-    async def _serve_snapshot(self, req):
-        incarnation = self.cell.me.incarnation
-        same_run = int(req.query.get("of", 0)) == incarnation
-        since = int(req.query.get("since", 0)) if same_run else 0
-        snapshot = self.replica.since(since)
-        return json_answer(Delta(incarnation, self.replica.version, snapshot))
+            self._spawn(self._replication.fetch(self._rng.choice(choices)))
 
     async def _read_lease(self):
         try:
@@ -318,7 +270,7 @@
         self._perform(self._neighbour.lease_read(name, version, cells, self._now()))
 
     async def _write_neighbour_record(self, record):
-        version = self._record_versions.get(record.cell)
+        version = self._replication.record_versions.get(record.cell)
         if version is None:
             return
         spec = msgspec.to_builtins(record)
@@ -329,40 +281,6 @@
             return
         event(log, "neighbour-lost", cell=record.cell, left=len(record.members))
 
-    def _on_pong(self, datagram, body, addr):
-        self._neighbour.heard(datagram.sender)
-
-    def _follow(self, wanted):
-        for task in self._mirrors:
-            task.cancel()
-        self._mirrors = []
-        if not wanted:
-            return
-        loop = asyncio.get_running_loop()
-        for kind, handler in ((CONFIGURATIONS, self._on_cfg), (CELLS, self._on_cell)):
-            mirror = Mirror(self._store, kind, handler, self._rng)
-            self._mirrors.append(loop.create_task(mirror.run()))
-            if kind == CELLS:
-                self._mirrors.append(loop.create_task(self._note_absence(mirror)))
-
-    async def _note_absence(self, mirror):
-        await mirror.synced.wait()
-        if self.cell.cell not in self.replica.snapshot.cells:
-            self.cell.record_absent()
-
-    def _on_cfg(self, obj):
-        if obj.metadata.name == CONFIGURATION_NAME:
-            spec = obj.spec
-            self.absorb(Snapshot(spec["generation"], spec["files"]))
-
-    def _on_cell(self, obj):
-        record = msgspec.convert(obj.spec, CellRecord)
-        self._record_versions[record.cell] = obj.metadata.resource_version
-        if record.cell == self.cell.cell:
-            version = obj.metadata.resource_version
-            self.cell.record_read(record, version, self._now())
-        self.absorb(Snapshot(cells={record.cell: record}))
-
 
 @contextlib.asynccontextmanager
 async def running(*coros):
--- a/src/ryesaddle/daemons/node.py
+++ b/src/ryesaddle/daemons/node.py
@@ -15,6 +15,7 @@
 )
 from ryesaddle.daemons.membership import Membership
 from ryesaddle.daemons.peer import PeerSocket
+from ryesaddle.daemons.replication import Replication
 from ryesaddle.internal.log import set_up_logging
 from ryesaddle.internal.membership.cell import CellMember
 from ryesaddle.internal.metrics import Metrics
@@ -65,6 +66,17 @@
     session: aiohttp.ClientSession
     rng: random.Random
 
+    def status(self, role):
+        """Return what the status of every member has in it."""
+        return {
+            "node": self.me.node,
+            "role": role,
+            "config": self.membership.replica.snapshot.generation,
+            "leads": self.membership.cell.leads,
+            "counts": dict(self.metrics.counts),
+            "store_calls": self.store.calls,
+        }
+
     async def open(self):
         """Bind the sockets of the node."""
         await self.server.open()
@@ -103,7 +115,10 @@
     control = ControlClient(session, bearer(peer_key))
     server = ControlServer(settings.control, bearer(peer_key))
     cell = CellMember(settings.cell, me, rng)
-    membership = Membership(cell, peer, store, control, server, settings.seeds, rng)
+    replication = Replication(
+        settings.cell, me.incarnation, store, control, server, rng
+    )
+    membership = Membership(cell, replication, peer, store, settings.seeds, rng)
     peer.on(Ping, lambda datagram, body, addr: peer.send_control(addr, Pong()))
     return Node(
         settings,
--- a/src/ryesaddle/daemons/relay.py
+++ b/src/ryesaddle/daemons/relay.py
@@ -6,7 +6,6 @@
 import msgspec
 from aiohttp import web
 
-from ryesaddle.daemons.exchange import Exchange
 from ryesaddle.daemons.request import Request
 from ryesaddle.internal.routing.rendezvous import rank
 
@@ -141,8 +140,14 @@
         finally:
             reply.close()
 
-    def serve(self, agent):
-        """Take requests that other agents hand over to ``agent``."""
+    def serve(self, run):
+        """Take requests that other agents hand over.
+
+        Parameters
+        ----------
+        run : coroutine function
+            Called with a `RelayStream` and a `RelayedRequest`.
+        """
 
         async def handle(http_req):
             data = await http_req.read()
@@ -150,11 +155,7 @@
             if relayed.service != self._node.me.service:
                 raise web.HTTPMisdirectedRequest
             stream = RelayStream(http_req, relayed)
-            exchange = Exchange(
-                agent, stream, relayed.req, agent.next_attempt(), relayed=True
-            )
-            exchange.feed(relayed.body, True)
-            await exchange.run()
+            await run(stream, relayed)
             return stream.reply or web.Response(status=500)
 
         self._node.server.route("POST", RELAY_PATH, handle)
