--- /dev/null
+++ b/src/ryesaddle/daemons/attempt.py
@@ -0,0 +1,107 @@
+"""The record of one attempt at a request, while it is handled."""
+
+import logging
+import time
+
+import msgspec
+
+from ryesaddle.internal.journal.entry import JournalEntry
+from ryesaddle.internal.journal.outcome import Outcome
+from ryesaddle.internal.log import event
+
+log = logging.getLogger(__name__)
+
+
+class Attempt:
+    """Keeps the journal entry, the log and the metrics of an attempt in step.
+
+    Parameters
+    ----------
+    agent : Agent
+        Parts of the agent: node and journal.
+    number : int
+        Number of the attempt, unique within this run of the agent.
+    req : Request
+        The request.
+    stream : FlowStream or RelayStream
+        Where its answer goes.
+    """
+
+    def __init__(self, agent, number, req, stream):
+        self.number = number
+        self._agent = agent
+        me = agent.node.me
+        self._entry = JournalEntry(
+            request_id=req.request_id,
+            caller=stream.caller,
+            flow=stream.flow_name,
+            service=me.service,
+            target=me.target,
+            agent=me.node,
+            method=req.method,
+            path=req.path.partition("?")[0],
+            key=req.key,
+            received_at=time.time(),
+        )
+        self._note()
+
+    @property
+    def outcome(self):
+        """The `Outcome` so far."""
+        return self._entry.outcome
+
+    @property
+    def is_dispatched(self):
+        """Whether the request was handed to the target or relayed."""
+        return self._entry.dispatched_at is not None
+
+    def place(self, reason, to="-"):
+        """Log where the request goes."""
+        self._log("place", reason=reason, to=to)
+
+    def dispatched(self):
+        """Note that the request is handed over now."""
+        self._note(dispatched_at=time.time())
+
+    def ended(self, outcome, status, reason):
+        """Note how the attempt ended."""
+        self._note(
+            outcome=outcome, status=status, reason=reason, finished_at=time.time()
+        )
+        self._log("outcome", outcome=outcome, status=status, reason=reason)
+        self._agent.node.metrics.count(f"agent.outcome.{outcome}")
+
+    def delivered(self):
+        """Note that the caller has acknowledged the whole answer."""
+        self._note(delivered=True)
+
+    def fate(self, key_unsettled):
+        """Return the outcome if the attempt were given up now.
+
+        Parameters
+        ----------
+        key_unsettled : bool
+            Whether an earlier attempt with the same key may have run, so that the
+            caller must not be told that the request did not.
+        """
+        if self.outcome is not Outcome.PENDING:
+            return self.outcome
+        if self.is_dispatched or key_unsettled:
+            return Outcome.UNKNOWN
+        return Outcome.NOT_RUN
+
+    def _note(self, **changes):
+        self._entry = msgspec.structs.replace(self._entry, **changes)
+        self._agent.journal.put(self.number, self._entry)
+
+    def _log(self, name, **pairs):
+        entry = self._entry
+        event(
+            log,
+            name,
+            request=entry.request_id,
+            flow=entry.flow,
+            service=entry.service,
+            target=entry.target,
+            **pairs,
+        )
--- a/src/ryesaddle/daemons/exchange.py
+++ b/src/ryesaddle/daemons/exchange.py
@@ -3,11 +3,11 @@
 import asyncio
 import hashlib
 import logging
-import time
 
 import aiohttp
 import msgspec
 
+from ryesaddle.daemons.attempt import Attempt
 from ryesaddle.daemons.claims import Acquired, HeldElsewhere, Unavailable
 from ryesaddle.daemons.header import (
     OUTCOME_HEADER,
@@ -21,9 +21,7 @@
 from ryesaddle.internal.admission.admission import Decline
 from ryesaddle.internal.claims.answer import MAX_STORED_BYTES, StoredAnswer
 from ryesaddle.internal.claims.claimant import Fate
-from ryesaddle.internal.journal.entry import JournalEntry
 from ryesaddle.internal.journal.outcome import Outcome
-from ryesaddle.internal.log import event
 
 log = logging.getLogger(__name__)
 
@@ -53,7 +51,6 @@
         self._agent = agent
         self._stream = stream
         self._req = req
-        self._attempt = attempt
         self._relayed = relayed
         self._body = bytearray()
         self._body_done = asyncio.get_running_loop().create_future()
@@ -62,25 +59,12 @@
         self._claim = None
         self._stored = None
         self._deadline = asyncio.get_running_loop().time() + req.timeout_s
-        me = agent.node.me
-        self._entry = JournalEntry(
-            request_id=req.request_id,
-            caller=stream.caller,
-            flow=stream.flow_name,
-            service=me.service,
-            target=me.target,
-            agent=me.node,
-            method=req.method,
-            path=req.path.partition("?")[0],
-            key=req.key,
-            received_at=time.time(),
-        )
-        self._note()
+        self._attempt = Attempt(agent, attempt, req, stream)
 
     @property
     def outcome(self):
         """The `Outcome` so far."""
-        return self._entry.outcome
+        return self._attempt.outcome
 
     def feed(self, data, end):
         """Take a part of the request body."""
@@ -96,7 +80,7 @@
         A submission that is already at the target is seen to its end, so that a
         repeat of its key is told what became of it.
         """
-        self._orphaned = self._claim is not None and self._is_dispatched()
+        self._orphaned = self._claim is not None and self._attempt.is_dispatched
         return self._orphaned
 
     async def run(self):
@@ -107,10 +91,10 @@
         except TimeoutError:
             self._give_up("deadline", 504)
         except asyncio.CancelledError:
-            self._end(self._fate(), 0, "caller-gone")
+            self._attempt.ended(self._fate(), 0, "caller-gone")
             raise
         except CallerGoneError:
-            self._end(self._fate(), 0, "caller-gone")
+            self._attempt.ended(self._fate(), 0, "caller-gone")
         except aiohttp.ClientConnectorError:
             # The claim, if there is one, was withdrawn on the way here.
             self._agent.note_failure()
@@ -123,7 +107,7 @@
             log.exception("exchange-failed")
             self._give_up("internal-error", 500)
         if await self._stream.delivered():
-            self._note(delivered=True)
+            self._attempt.delivered()
 
     async def _serve(self):
         if not await self._body_done:
@@ -164,7 +148,7 @@
         if not self._agent.takes_new_work():
             self._not_run("draining", DRAINING_RETRY_AFTER_S)
             return
-        decision = await self._agent.gate.enter(self._attempt, self._deadline)
+        decision = await self._agent.gate.enter(self._attempt.number, self._deadline)
         if isinstance(decision, Decline):
             self._not_run(decision.reason, decision.retry_after_s)
             return
@@ -172,7 +156,7 @@
         try:
             measured = await self._dispatch()
         finally:
-            self._agent.gate.leave(self._attempt, measured)
+            self._agent.gate.leave(self._attempt.number, measured)
 
     async def _repeat(self, found):
         """Answer with what became of the attempt that holds the key."""
@@ -193,7 +177,7 @@
         await self._stream.start(answer.status, fields)
         await self._stream.write(answer.body)
         await self._stream.finish()
-        self._end(Outcome.RAN, answer.status, f"ran-by:{where}")
+        self._attempt.ended(Outcome.RAN, answer.status, f"ran-by:{where}")
 
     async def _dispatch(self):
         """Hand the request to the target; return whether its time counts."""
@@ -201,8 +185,8 @@
         if self._claim and not self._agent.claims.claimant.take(self._claim):
             self._not_run("claim-released", CLAIM_RETRY_AFTER_S)
             return False
-        self._note(dispatched_at=time.time())
-        self._log("place", reason="slot-free")
+        self._attempt.dispatched()
+        self._attempt.place("slot-free")
         left = self._deadline - asyncio.get_running_loop().time()
         headers = target_fields(end_to_end(req.headers), left)
         async with self._agent.upstream.exchange(
@@ -220,7 +204,7 @@
             if not self._orphaned:
                 await self._stream.finish()
             reason = "caller-gone" if self._orphaned else "answered"
-            self._end(Outcome.RAN, reply.status, reason)
+            self._attempt.ended(Outcome.RAN, reply.status, reason)
             self._agent.health.succeeded()
         return True
 
@@ -229,10 +213,10 @@
         left = self._deadline - asyncio.get_running_loop().time()
         req = msgspec.structs.replace(self._req, timeout_s=max(left, 0.0))
         relay = self._agent.relay
-        self._log("place", reason="draining", to=member.node)
+        self._attempt.place("draining", to=member.node)
         try:
             async with relay.exchange(member, req, self._stream, self._body) as reply:
-                self._note(dispatched_at=time.time())
+                self._attempt.dispatched()
                 outcome = Outcome(reply.headers.get(OUTCOME_HEADER, Outcome.UNKNOWN))
                 fields = tuple(end_to_end(reply.headers.items()))
                 length = reply.headers.get("Content-Length")
@@ -240,7 +224,7 @@
                     fields = (*fields, ("content-length", length))
                 await self._pass_on(reply, fields)
                 await self._stream.finish()
-                self._end(outcome, reply.status, f"relayed:{member.node}")
+                self._attempt.ended(outcome, reply.status, f"relayed:{member.node}")
         except aiohttp.ClientConnectorError:
             reason = f"relay-unreachable:{member.node}"
             self._answer_error(503, self._fate(), reason, DRAINING_RETRY_AFTER_S)
@@ -267,9 +251,6 @@
             if not self.abandon():
                 raise
 
-    def _is_dispatched(self):
-        return self._entry.dispatched_at is not None
-
     def _fingerprint(self):
         """Return a digest of what makes this request the same as another."""
         digest = hashlib.blake2b(bytes(self._body), digest_size=16)
@@ -277,17 +258,10 @@
         return digest.digest()
 
     def _fate(self):
-        if self._entry.outcome is not Outcome.PENDING:
-            return self._entry.outcome
-        # Without its claim, an earlier attempt with the same key may have run, so
-        # the caller must not be told that the request did not.
-        unsettled = bool(self._req.key) and self._claim is None
-        if self._is_dispatched() or unsettled:
-            return Outcome.UNKNOWN
-        return Outcome.NOT_RUN
+        return self._attempt.fate(bool(self._req.key) and self._claim is None)
 
     def _give_up(self, reason, status):
-        if not self._is_dispatched():
+        if not self._attempt.is_dispatched:
             retry_after_s = self._agent.gate.retry_after()
             self._answer_error(503, self._fate(), reason, retry_after_s)
         else:
@@ -297,7 +271,7 @@
         self._answer_error(503, Outcome.NOT_RUN, reason, retry_after_s)
 
     def _answer_error(self, status, outcome, reason, retry_after_s=None):
-        self._end(outcome, status, reason)
+        self._attempt.ended(outcome, status, reason)
         if self._stream.closed or self._orphaned:
             return
         if self._answering:
@@ -311,26 +285,3 @@
     def _finish_body(self, whole):
         if not self._body_done.done():
             self._body_done.set_result(whole)
-
-    def _end(self, outcome, status, reason):
-        self._note(
-            outcome=outcome, status=status, reason=reason, finished_at=time.time()
-        )
-        self._log("outcome", outcome=outcome, status=status, reason=reason)
-        self._agent.node.metrics.count(f"agent.outcome.{outcome}")
-
-    def _note(self, **changes):
-        self._entry = msgspec.structs.replace(self._entry, **changes)
-        self._agent.journal.put(self._attempt, self._entry)
-
-    def _log(self, name, **pairs):
-        entry = self._entry
-        event(
-            log,
-            name,
-            request=entry.request_id,
-            flow=entry.flow,
-            service=entry.service,
-            target=entry.target,
-            **pairs,
-        )
