Count a relayed request as handed over before it is sent

Cause: the relaying agent noted the hand-over only when the answer's header arrived, so a deadline meanwhile was answered 'not run' although the other agent's target may have run the request. Found by reading. Ruled out: leaving the word to the other agent, whose own deadline answer arrives later than the local one.

--- a/src/ryesaddle/daemons/exchange.py
+++ b/src/ryesaddle/daemons/exchange.py
@@ -213,10 +213,11 @@
         left = self._deadline - asyncio.get_running_loop().time()
         req = msgspec.structs.replace(self._req, timeout_s=max(left, 0.0))
         relay = self._agent.relay
+        not_reached = self._fate()
         self._attempt.place("draining", to=member.node)
+        self._attempt.dispatched()
         try:
             async with relay.exchange(member, req, self._stream, self._body) as reply:
-                self._attempt.dispatched()
                 outcome = Outcome(reply.headers.get(OUTCOME_HEADER, Outcome.UNKNOWN))
                 fields = tuple(end_to_end(reply.headers.items()))
                 length = reply.headers.get("Content-Length")
@@ -227,7 +228,7 @@
                 self._attempt.ended(outcome, reply.status, f"relayed:{member.node}")
         except aiohttp.ClientConnectorError:
             reason = f"relay-unreachable:{member.node}"
-            self._answer_error(503, self._fate(), reason, DRAINING_RETRY_AFTER_S)
+            self._answer_error(503, not_reached, reason, DRAINING_RETRY_AFTER_S)
         except (aiohttp.ClientError, OSError):
             self._answer_error(502, Outcome.UNKNOWN, f"relay-failed:{member.node}")
 
--- a/tests/processes/test_flows.py
+++ b/tests/processes/test_flows.py
@@ -89,6 +89,10 @@
                 reply = await caller.request("GET", f"/status/{number}")
                 self.assertEqual((reply.status, reply.outcome), (200, "ran"))
                 self.assertNotIn(f'"{target}"'.encode(), reply.body)
+            reply = await caller.request(
+                "POST", "/reply?seconds=3", [("x-request-timeout", "0.5")], b"late"
+            )
+            self.assertEqual((reply.status, reply.outcome), (504, "unknown"))
             headers = [("idempotency-key", '"relayed"')]
             for _ in range(2):
                 reply = await caller.request("POST", "/reply", headers, b"hardship")
