--- a/bench/model.py
+++ b/bench/model.py
@@ -68,7 +68,7 @@
         Share of requests that take ``pack_factor`` times as long.
     slow_factor : float
         How many times longer the first target takes.
-    patience : int
+    max_retries : int
         How often a caller that was refused comes back.
     """
 
@@ -78,7 +78,7 @@
     pack_share: float = 0.0
     pack_factor: float = 20.0
     slow_factor: float = 1.0
-    patience: int = 0
+    max_retries: int = 0
 
 
 @dataclass
@@ -241,7 +241,7 @@
     def _refuse(self, attempt, decision, now):
         number, tries, first_at, arrived_at, _ = attempt
         self.result.refusals_s.append(now - arrived_at)
-        if tries < self._work.patience:
+        if tries < self._work.max_retries:
             wait = decision.retry_after_s * self._rng.uniform(1.0, 1.5)
             self._push(now + wait, "arrive", (number, first_at, tries + 1))
 
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -60,12 +60,12 @@
 def run_overload():
     """Return rows of goodput at ten times capacity, and in a retry storm."""
     rows = []
-    for name, patience, admission in (
+    for name, max_retries, admission in (
         ("admission", 0, Admission),
         ("admission, callers come back 3 times", 3, Admission),
         ("no admission control", 0, NoAdmission),
     ):
-        workload = Workload(10.0, 12_000, deadline_s=2.0, patience=patience)
+        workload = Workload(10.0, 12_000, deadline_s=2.0, max_retries=max_retries)
         result = Model(Offer(), workload, admission=admission).run()
         late = sum(s > LATE_REFUSAL_S for s in result.refusals_s)
         rows.append(
--- a/demo/run.py
+++ b/demo/run.py
@@ -86,7 +86,7 @@
 
 def show_trace(deployment, request_id, wrong):
     """Run ``ryesaddle trace`` as an engineer would."""
-    command = ["trace", request_id, "--desk", str(deployment.desk_file)]
+    command = ["trace", request_id, "--operator", str(deployment.operator_file)]
     print(f"$ ryesaddle {' '.join(command[:2])}")
     done = subprocess.run(
         [*deployment.program, *command], capture_output=True, text=True, check=False
--- a/src/ryesaddle/__init__.py
+++ b/src/ryesaddle/__init__.py
@@ -10,7 +10,7 @@
 from ryesaddle.internal.admission.admission import Admission, Decline, Start, Wait
 from ryesaddle.internal.admission.health import Health
 from ryesaddle.internal.claims.acceptor import Acceptor
-from ryesaddle.internal.claims.claimant import Claimant, Fate
+from ryesaddle.internal.claims.claimant import Claimant, ClaimStatus
 from ryesaddle.internal.claims.handover import Handover, combine
 from ryesaddle.internal.claims.identity import ClaimId, ClaimMember
 from ryesaddle.internal.claims.proposal import Granted, HeldBy, Send
@@ -42,13 +42,13 @@
     "CellRecord",
     "ClaimId",
     "ClaimMember",
+    "ClaimStatus",
     "ClaimView",
     "Claimant",
     "Decline",
     "Discard",
     "Dispatch",
     "Dispatcher",
-    "Fate",
     "Granted",
     "Handover",
     "Health",
--- a/src/ryesaddle/cli/main.py
+++ b/src/ryesaddle/cli/main.py
@@ -11,7 +11,7 @@
 from cyclopts import Parameter
 
 import ryesaddle
-from ryesaddle.cli.desk import Desk, read_seen
+from ryesaddle.cli.operator import OperatorClient, read_seen
 from ryesaddle.cli.report import status_lines, trace_lines
 from ryesaddle.daemons.agent import run_agent
 from ryesaddle.daemons.balancer import run_balancer
@@ -35,11 +35,11 @@
     version=ryesaddle.__version__,
 )
 
-DeskFile = Annotated[
+OperatorFile = Annotated[
     Path,
     Parameter(
-        name="--desk",
-        env_var="RYESADDLE_DESK",
+        name="--operator",
+        env_var="RYESADDLE_OPERATOR",
         help="JSON file with store_url and peer_key_file.",
     ),
 ]
@@ -87,7 +87,7 @@
 
 
 @app.command
-def diff(folder: Path, *, desk: DeskFile):
+def diff(folder: Path, *, operator: OperatorFile):
     """List the files that apply would change; exit code 1 if there are any.
 
     Parameters
@@ -99,7 +99,7 @@
     merge(files)
     seen = read_seen(folder)
     change = compare(seen.files, files)
-    held = asyncio.run(_with_desk(desk, lambda d: d.held()))
+    held = asyncio.run(_with_operator(operator, lambda op: op.held()))
     for line in change.lines(seen.files):
         print(line)
     if held.generation != seen.generation:
@@ -111,7 +111,7 @@
 
 
 @app.command
-def apply(folder: Path, *, desk: DeskFile):
+def apply(folder: Path, *, operator: OperatorFile):
     """Bring the changed files of a folder into force.
 
     Parameters
@@ -119,7 +119,7 @@
     folder
         The configuration folder.
     """
-    applied = asyncio.run(_with_desk(desk, lambda d: d.apply(folder)))
+    applied = asyncio.run(_with_operator(operator, lambda op: op.apply(folder)))
     for line in applied.lines:
         print(line)
     print(f"accepted as generation {applied.generation}")
@@ -127,7 +127,7 @@
 
 
 @app.command
-def pull(folder: Path, *, desk: DeskFile):
+def pull(folder: Path, *, operator: OperatorFile):
     """Bring the files that others changed into a folder.
 
     Parameters
@@ -135,7 +135,7 @@
     folder
         The configuration folder.
     """
-    pulled = asyncio.run(_with_desk(desk, lambda d: d.pull(folder)))
+    pulled = asyncio.run(_with_operator(operator, lambda op: op.pull(folder)))
     for line in pulled.lines:
         print(line)
     print(f"folder is at generation {pulled.generation}")
@@ -143,7 +143,7 @@
 
 
 @app.command
-def drain(folder: Path, target: str, *, desk: DeskFile, undo: bool = False):
+def drain(folder: Path, target: str, *, operator: OperatorFile, undo: bool = False):
     """Give a target no new work, by adding a drain file and applying it.
 
     Parameters
@@ -163,13 +163,13 @@
     else:
         body = {"kind": "drain", "target": target}
         file.write_bytes(msgspec.json.encode(body) + b"\n")
-    return apply(folder, desk=desk)
+    return apply(folder, operator=operator)
 
 
 @app.command
-def status(*, desk: DeskFile, as_json: AsJson = False):
+def status(*, operator: OperatorFile, as_json: AsJson = False):
     """Show every member: its role, configuration, flows and load."""
-    found = asyncio.run(_with_desk(desk, lambda d: d.status()))
+    found = asyncio.run(_with_operator(operator, lambda op: op.status()))
     if as_json:
         print(msgspec.json.encode(found).decode())
     else:
@@ -178,7 +178,7 @@
 
 
 @app.command
-def trace(request_id: str, *, desk: DeskFile, as_json: AsJson = False):
+def trace(request_id: str, *, operator: OperatorFile, as_json: AsJson = False):
     """Show what became of a request; exit code 1 if it is not known.
 
     Parameters
@@ -186,7 +186,7 @@
     request_id
         Value of X-Request-ID of the request.
     """
-    found = asyncio.run(_with_desk(desk, lambda d: d.trace(request_id)))
+    found = asyncio.run(_with_operator(operator, lambda op: op.trace(request_id)))
     if as_json:
         print(msgspec.json.encode(found).decode())
     else:
@@ -207,9 +207,9 @@
     sys.exit(code if isinstance(code, int) else EXIT_OK)
 
 
-async def _with_desk(path, command):
+async def _with_operator(path, command):
     settings = load_settings(path, OperatorSettings)
     if not settings.store_url.startswith(("http://", "https://")):
         raise SettingsError(f"{path}: store_url must begin with http:// or https://")
-    async with Desk(settings) as desk:
-        return await command(desk)
+    async with OperatorClient(settings) as operator:
+        return await command(operator)
--- a/src/ryesaddle/cli/desk.py
+++ b/src/ryesaddle/cli/operator.py
@@ -73,7 +73,7 @@
     silent: tuple
 
 
-class Desk:
+class OperatorClient:
     """Performs the commands of an operator.
 
     Parameters
--- a/src/ryesaddle/daemons/attempt.py
+++ b/src/ryesaddle/daemons/attempt.py
@@ -75,7 +75,7 @@
         """Note that the caller has acknowledged the whole answer."""
         self._note(delivered=True)
 
-    def fate(self, key_unsettled):
+    def outcome_if_dropped(self, key_unsettled):
         """Return the outcome if the attempt were given up now.
 
         Parameters
--- a/src/ryesaddle/daemons/claims.py
+++ b/src/ryesaddle/daemons/claims.py
@@ -7,8 +7,8 @@
 
 from ryesaddle.daemons.control import json_answer
 from ryesaddle.internal.claims.acceptor import Acceptor
-from ryesaddle.internal.claims.answer import FateReport
-from ryesaddle.internal.claims.claimant import Claimant, Fate
+from ryesaddle.internal.claims.answer import ClaimReport
+from ryesaddle.internal.claims.claimant import Claimant, ClaimStatus
 from ryesaddle.internal.claims.identity import ClaimId, ClaimMember
 from ryesaddle.internal.claims.message import (
     Accept,
@@ -25,7 +25,14 @@
 CLAIM_TIMEOUT_S = 1.0
 INQUIRY_WAIT_S = 1.0
 INQUIRY_POLL_S = 0.01
-SETTLED = frozenset({Fate.FINISHED, Fate.RELEASED, Fate.LOST, Fate.FORGOTTEN})
+SETTLED = frozenset(
+    {
+        ClaimStatus.FINISHED,
+        ClaimStatus.RELEASED,
+        ClaimStatus.LOST,
+        ClaimStatus.FORGOTTEN,
+    }
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +47,7 @@
     """Another attempt holds the key; ``report`` is its final word."""
 
     holder: ClaimId
-    report: FateReport
+    report: ClaimReport
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +82,7 @@
         for kind in (Promise, Accepted, Reject):
             node.peer.on(kind, self._on_answer)
         node.server.route(
-            "GET", "/claims/fate/{incarnation}/{sequence}", self._serve_fate
+            "GET", "/claims/status/{incarnation}/{sequence}", self._serve_status
         )
 
     async def run(self):
@@ -110,7 +117,7 @@
                     acquired = True
                     return Acquired(claim)
                 report = await self._inquire(result.claim, deadline)
-                if report.fate not in (Fate.RELEASED, Fate.LOST):
+                if report.status not in (ClaimStatus.RELEASED, ClaimStatus.LOST):
                     return HeldElsewhere(result.claim, report)
                 self._send(self.claimant.skip(claim, self._now()))
         finally:
@@ -142,19 +149,19 @@
         if result is not None:
             return result
         fut = self._waiters[claim] = asyncio.get_running_loop().create_future()
-        patience = min(CLAIM_TIMEOUT_S, deadline - self._now())
+        timeout = min(CLAIM_TIMEOUT_S, deadline - self._now())
         try:
-            return await asyncio.wait_for(fut, max(patience, 0.0))
+            return await asyncio.wait_for(fut, max(timeout, 0.0))
         except TimeoutError:
             return None
         finally:
             self._waiters.pop(claim, None)
 
     async def _inquire(self, holder, deadline):
-        path = f"/claims/fate/{holder.incarnation}/{holder.sequence}"
+        path = f"/claims/status/{holder.incarnation}/{holder.sequence}"
         while True:
             report = await self._report(holder, path)
-            if report.fate in SETTLED or self._now() >= deadline:
+            if report.status in SETTLED or self._now() >= deadline:
                 return report
 
     async def _report(self, holder, path):
@@ -166,18 +173,18 @@
         if address is not None:
             body = await self._node.control.get(address, path)
         if body is None:
-            return FateReport(Fate.FORGOTTEN)
-        return msgspec.json.decode(body, type=FateReport)
+            return ClaimReport(ClaimStatus.FORGOTTEN)
+        return msgspec.json.decode(body, type=ClaimReport)
 
     async def _settled(self, claim):
         end = self._now() + INQUIRY_WAIT_S
         while True:
-            report = FateReport(*self.claimant.fate(claim))
-            if report.fate in SETTLED or self._now() >= end:
+            report = ClaimReport(*self.claimant.status(claim))
+            if report.status in SETTLED or self._now() >= end:
                 return report
             await asyncio.sleep(INQUIRY_POLL_S)
 
-    async def _serve_fate(self, req):
+    async def _serve_status(self, req):
         claim = ClaimId(
             self._node.me.node,
             int(req.match_info["incarnation"]),
--- a/src/ryesaddle/daemons/exchange.py
+++ b/src/ryesaddle/daemons/exchange.py
@@ -20,7 +20,7 @@
 from ryesaddle.daemons.upstream import end_to_end
 from ryesaddle.internal.admission.admission import Decline
 from ryesaddle.internal.claims.answer import MAX_STORED_BYTES, StoredAnswer
-from ryesaddle.internal.claims.claimant import Fate
+from ryesaddle.internal.claims.claimant import ClaimStatus
 from ryesaddle.internal.journal.outcome import Outcome
 
 log = logging.getLogger(__name__)
@@ -91,10 +91,10 @@
         except TimeoutError:
             self._give_up("deadline", 504)
         except asyncio.CancelledError:
-            self._attempt.ended(self._fate(), 0, "caller-gone")
+            self._attempt.ended(self._outcome_if_dropped(), 0, "caller-gone")
             raise
         except CallerGoneError:
-            self._attempt.ended(self._fate(), 0, "caller-gone")
+            self._attempt.ended(self._outcome_if_dropped(), 0, "caller-gone")
         except aiohttp.ClientConnectorError:
             # The claim, if there is one, was withdrawn on the way here.
             self._agent.note_failure()
@@ -128,7 +128,9 @@
             case HeldElsewhere():
                 await self._repeat(found)
             case Unavailable(reason=reason):
-                self._answer_error(503, self._fate(), reason, CLAIM_RETRY_AFTER_S)
+                self._answer_error(
+                    503, self._outcome_if_dropped(), reason, CLAIM_RETRY_AFTER_S
+                )
 
     async def _run_claimed(self, claim):
         self._claim = claim
@@ -162,8 +164,8 @@
         """Answer with what became of the attempt that holds the key."""
         report = found.report
         where = f"{found.holder.node}/{found.holder.sequence}"
-        if report.fate is not Fate.FINISHED or report.answer is None:
-            self._answer_error(504, Outcome.UNKNOWN, f"held-by:{where},{report.fate}")
+        if report.status is not ClaimStatus.FINISHED or report.answer is None:
+            self._answer_error(504, Outcome.UNKNOWN, f"held-by:{where},{report.status}")
         elif report.answer.fingerprint != self._fingerprint():
             self._answer_error(422, Outcome.NOT_RUN, f"key-of-another-request:{where}")
         elif report.answer.body is None:
@@ -213,7 +215,7 @@
         left = self._deadline - asyncio.get_running_loop().time()
         req = msgspec.structs.replace(self._req, timeout_s=max(left, 0.0))
         relay = self._agent.relay
-        not_reached = self._fate()
+        not_reached = self._outcome_if_dropped()
         self._attempt.place("draining", to=member.node)
         self._attempt.dispatched()
         try:
@@ -258,13 +260,15 @@
         digest.update(f"{self._req.method} {self._req.path}".encode())
         return digest.digest()
 
-    def _fate(self):
-        return self._attempt.fate(bool(self._req.key) and self._claim is None)
+    def _outcome_if_dropped(self):
+        return self._attempt.outcome_if_dropped(
+            bool(self._req.key) and self._claim is None
+        )
 
     def _give_up(self, reason, status):
         if not self._attempt.is_dispatched:
             retry_after_s = self._agent.gate.retry_after()
-            self._answer_error(503, self._fate(), reason, retry_after_s)
+            self._answer_error(503, self._outcome_if_dropped(), reason, retry_after_s)
         else:
             self._answer_error(status, Outcome.UNKNOWN, reason)
 
--- a/src/ryesaddle/internal/claims/answer.py
+++ b/src/ryesaddle/internal/claims/answer.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ryesaddle.internal.claims.claimant import Fate
+from ryesaddle.internal.claims.claimant import ClaimStatus
 
 MAX_STORED_BYTES = 65_536
 
@@ -28,8 +28,8 @@
     fingerprint: bytes
 
 
-class FateReport(msgspec.Struct, frozen=True):
+class ClaimReport(msgspec.Struct, frozen=True):
     """What an executor says of one of its claims."""
 
-    fate: Fate
+    status: ClaimStatus
     answer: StoredAnswer | None = None
--- a/src/ryesaddle/internal/claims/claimant.py
+++ b/src/ryesaddle/internal/claims/claimant.py
@@ -10,7 +10,7 @@
 MAX_FINISHED = 20_000
 
 
-class Fate(StrEnum):
+class ClaimStatus(StrEnum):
     """What became of a claim, as its own executor knows it."""
 
     CLAIMING = "claiming"
@@ -25,7 +25,7 @@
 @dataclass(slots=True)
 class _Record:
     proposal: Proposal
-    fate: Fate = Fate.CLAIMING
+    status: ClaimStatus = ClaimStatus.CLAIMING
     answer: object = None
 
 
@@ -82,7 +82,7 @@
         """Return the `Send` actions that are due."""
         actions = []
         for record in list(self._open.values()):
-            if record.fate is Fate.CLAIMING:
+            if record.status is ClaimStatus.CLAIMING:
                 actions += record.proposal.tick(now)
         return actions
 
@@ -99,58 +99,60 @@
     def skip(self, claim, now):
         """Propose for the next slot, the holder of this one having released it."""
         record = self._open[claim]
-        record.fate = Fate.CLAIMING
+        record.status = ClaimStatus.CLAIMING
         return record.proposal.next_slot(now)
 
     def take(self, claim):
         """Return whether the claim may be dispatched now; True at most once."""
         record = self._open.get(claim)
-        if record is None or record.fate is not Fate.GRANTED:
+        if record is None or record.status is not ClaimStatus.GRANTED:
             return False
-        record.fate = Fate.DISPATCHED
+        record.status = ClaimStatus.DISPATCHED
         return True
 
     def finish(self, claim, answer):
         """Record the answer of a dispatched claim, None if it was lost."""
         record = self._open.get(claim)
-        if record is not None and record.fate is Fate.DISPATCHED:
+        if record is not None and record.status is ClaimStatus.DISPATCHED:
             record.answer = answer
-            self._end(claim, Fate.FINISHED)
+            self._end(claim, ClaimStatus.FINISHED)
 
     def withdraw(self, claim):
         """Release a dispatched claim that certainly never reached the target."""
         record = self._open.get(claim)
-        if record is None or record.fate is not Fate.DISPATCHED:
+        if record is None or record.status is not ClaimStatus.DISPATCHED:
             return []
-        self._end(claim, Fate.RELEASED)
+        self._end(claim, ClaimStatus.RELEASED)
         return record.proposal.release(chosen=True)
 
     def give_up(self, claim):
         """Make sure that the claim is never dispatched; return `Send` actions."""
         record = self._open.get(claim)
-        if record is None or record.fate is Fate.DISPATCHED:
+        if record is None or record.status is ClaimStatus.DISPATCHED:
             return []
         chosen = isinstance(record.proposal.result, Granted)
         lost = isinstance(record.proposal.result, HeldBy)
-        self._end(claim, Fate.LOST if lost else Fate.RELEASED)
+        self._end(claim, ClaimStatus.LOST if lost else ClaimStatus.RELEASED)
         return record.proposal.release(chosen)
 
-    def fate(self, claim):
-        """Return the pair of `Fate` and answer of one of this agent's claims."""
+    def status(self, claim):
+        """Return the pair of `ClaimStatus` and answer of one of this agent's claims."""
         if ClaimMember(claim.node, claim.incarnation) != self.me:
-            return Fate.FORGOTTEN, None
+            return ClaimStatus.FORGOTTEN, None
         record = self._open.get(claim) or self._ended.get(claim)
         if record is None:
-            return Fate.FORGOTTEN, None
-        return record.fate, record.answer
+            return ClaimStatus.FORGOTTEN, None
+        return record.status, record.answer
 
     def _note_result(self, record):
-        if record.fate is Fate.CLAIMING and isinstance(record.proposal.result, Granted):
-            record.fate = Fate.GRANTED
+        if record.status is ClaimStatus.CLAIMING and isinstance(
+            record.proposal.result, Granted
+        ):
+            record.status = ClaimStatus.GRANTED
 
-    def _end(self, claim, fate):
+    def _end(self, claim, status):
         record = self._open.pop(claim)
-        record.fate = fate
+        record.status = status
         self._ended[claim] = record
         if len(self._ended) > MAX_FINISHED:
             self._ended.popitem(last=False)
--- a/src/ryesaddle/internal/membership/cell.py
+++ b/src/ryesaddle/internal/membership/cell.py
@@ -286,14 +286,14 @@
 
     def _lead(self, now):
         actions = []
-        self._excuse_own_pause(now)
+        self._reset_after_own_pause(now)
         if now >= self._renew_at and self._pending_lease is None:
             renewed = msgspec.structs.replace(
                 self._lease, renewals=self._lease.renewals + 1
             )
             self._pending_lease = renewed
             actions.append(WriteLease(renewed, self._lease_version))
-        self._hear_oneself(now)
+        self._refresh_own(now)
         self._heard = {
             node: heard
             for node, heard in self._heard.items()
@@ -307,14 +307,14 @@
         self._lease_seen_at = None
         self._next_read = now
 
-    def _hear_oneself(self, now):
+    def _refresh_own(self, now):
         held = self._heard.get(self.me.node)
         if held is None or held.member != self.me:
             self._heard[self.me.node] = _Heard(self.me, now)
         else:
             held.at = now
 
-    def _excuse_own_pause(self, now):
+    def _reset_after_own_pause(self, now):
         # After a pause of this process, silence of the members proves nothing.
         if self._last_tick is not None and now - self._last_tick > 2 * HEARTBEAT_S:
             for heard in self._heard.values():
--- a/src/ryesaddle/settings.py
+++ b/src/ryesaddle/settings.py
@@ -84,7 +84,7 @@
 class OperatorSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """Settings of an operator's desk.
+    """Settings of an operator's commands.
 
     Attributes
     ----------
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -27,7 +27,7 @@
         self.assertLess(goodput(Offer(), OVERLOAD, NoAdmission), 0.5)
 
     def test_callers_that_come_back_do_not_lower_goodput(self):
-        workload = Workload(10.0, requests=12_000, deadline_s=2.0, patience=3)
+        workload = Workload(10.0, requests=12_000, deadline_s=2.0, max_retries=3)
         self.assertGreater(goodput(Offer(), workload), 0.9)
 
 
--- a/tests/claims/test_at_most_once.py
+++ b/tests/claims/test_at_most_once.py
@@ -11,7 +11,7 @@
 )
 
 from ryesaddle.internal.claims.acceptor import Acceptor
-from ryesaddle.internal.claims.claimant import Claimant, Fate
+from ryesaddle.internal.claims.claimant import Claimant, ClaimStatus
 from ryesaddle.internal.claims.handover import Handover
 from ryesaddle.internal.claims.message import Accept
 from ryesaddle.internal.claims.proposal import Proposal
@@ -205,7 +205,7 @@
     def test_the_proof_notices_a_dispatch_after_giving_up(self):
         def give_up_but_stay_open(claimant, claim):
             record = claimant._open.get(claim)
-            if record is None or record.fate is Fate.DISPATCHED:
+            if record is None or record.status is ClaimStatus.DISPATCHED:
                 return []
             return record.proposal.release(True)
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -130,9 +130,9 @@
 
     def test_an_unreachable_store_is_one_line_and_exit_code_2(self):
         self.write("10.json", {"kind": "service", "name": "case-desk", "port": 4433})
-        desk = self.folder / "desk.settings"
+        operator = self.folder / "operator.settings"
         settings = {"store_url": "http://127.0.0.1:1", "peer_key_file": str(self.key)}
-        desk.write_bytes(msgspec.json.encode(settings))
-        code, out, err = self.run_command("apply", self.folder, "--desk", desk)
+        operator.write_bytes(msgspec.json.encode(settings))
+        code, out, err = self.run_command("apply", self.folder, "--operator", operator)
         self.assertEqual((code, out), (2, ""))
         self.assertIn("error:", err)
--- a/tests/store/test_client.py
+++ b/tests/store/test_client.py
@@ -13,7 +13,7 @@
 
 QUICK = Backoff(0.01, 0.05)
 KIND = "configurations"
-PATIENCE_S = 60.0
+WAIT_S = 60.0
 
 
 class StoreClientTest(unittest.IsolatedAsyncioTestCase):
@@ -38,7 +38,7 @@
             pass
 
     async def until(self, condition):
-        async with asyncio.timeout(PATIENCE_S):
+        async with asyncio.timeout(WAIT_S):
             while not condition():
                 await asyncio.sleep(0.01)
 
--- a/tests/support/claims.py
+++ b/tests/support/claims.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ryesaddle.internal.claims.acceptor import Acceptor
-from ryesaddle.internal.claims.claimant import Claimant, Fate
+from ryesaddle.internal.claims.claimant import Claimant, ClaimStatus
 from ryesaddle.internal.claims.handover import Handover, combine
 from ryesaddle.internal.claims.identity import ClaimMember
 from ryesaddle.internal.claims.message import Accept, Prepare, Release
@@ -84,7 +84,7 @@
         agent = self.owner(claim)
         if agent is None or agent.frozen:
             return
-        if agent.claimant.fate(claim)[0] is Fate.DISPATCHED:
+        if agent.claimant.status(claim)[0] is ClaimStatus.DISPATCHED:
             return
         self.post(agent, agent.claimant.give_up(claim))
         self.given_up.add(claim)
@@ -103,7 +103,10 @@
         holder = self.owner(result.claim)
         if holder is None or holder.frozen:
             return
-        if holder.claimant.fate(result.claim)[0] in (Fate.RELEASED, Fate.LOST):
+        if holder.claimant.status(result.claim)[0] in (
+            ClaimStatus.RELEASED,
+            ClaimStatus.LOST,
+        ):
             self.post(agent, agent.claimant.skip(claim, self.now))
 
     def owner(self, claim):
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -14,7 +14,7 @@
 import aiohttp
 import msgspec
 
-from ryesaddle.cli.desk import Desk
+from ryesaddle.cli.operator import OperatorClient
 from ryesaddle.settings import OperatorSettings
 from tests.support.caller import call
 from tests.support.certificates import write_certificate
@@ -81,11 +81,11 @@
         peer_key.chmod(0o600)
         self.store_port = free_port()
         self.store_url = f"http://127.0.0.1:{self.store_port}"
-        self.desk_settings = OperatorSettings(
+        self.operator_settings = OperatorSettings(
             store_url=self.store_url, peer_key_file=str(peer_key)
         )
-        self.desk_file = self.folder / "desk.json"
-        self.desk_file.write_bytes(msgspec.json.encode(self.desk_settings))
+        self.operator_file = self.folder / "operator.json"
+        self.operator_file.write_bytes(msgspec.json.encode(self.operator_settings))
         for service in self.services:
             self.ports[service] = free_port(socket.SOCK_DGRAM)
             self.entry[service] = ("127.0.0.1", free_port(socket.SOCK_DGRAM))
@@ -111,8 +111,8 @@
 
     async def apply(self):
         """Apply the configuration folder."""
-        async with Desk(self.desk_settings) as desk:
-            return await desk.apply(self.cfg_folder)
+        async with OperatorClient(self.operator_settings) as operator:
+            return await operator.apply(self.cfg_folder)
 
     def _start_store(self):
         self._launch(
@@ -171,7 +171,7 @@
             "peer": ["127.0.0.1", free_port(socket.SOCK_DGRAM)],
             "control": ["127.0.0.1", free_port()],
             "store_url": self.store_url,
-            "peer_key_file": self.desk_settings.peer_key_file,
+            "peer_key_file": self.operator_settings.peer_key_file,
             **extra,
         }
         if role == "balancer":
@@ -215,13 +215,13 @@
 
     async def status(self):
         """Return the status of each announced member."""
-        async with Desk(self.desk_settings) as desk:
-            return await desk.status()
+        async with OperatorClient(self.operator_settings) as operator:
+            return await operator.status()
 
     async def trace(self, request_id):
         """Return the trace of a request."""
-        async with Desk(self.desk_settings) as desk:
-            return await desk.trace(request_id)
+        async with OperatorClient(self.operator_settings) as operator:
+            return await operator.trace(request_id)
 
     async def executed(self):
         """Return all executions that the targets have recorded."""
