--- a/src/ryesaddle/internal/membership/cell.py
+++ b/src/ryesaddle/internal/membership/cell.py
@@ -1,7 +1,5 @@
 """Leader election, heartbeats and announcements within one cell."""
 
-from dataclasses import dataclass
-
 import msgspec
 
 from ryesaddle.internal.membership.action import (
@@ -12,11 +10,9 @@
     SendHeartbeat,
     SendHeartbeatAck,
     WriteLease,
-    WriteRecord,
 )
 from ryesaddle.internal.membership.lease import Lease
-from ryesaddle.internal.membership.snapshot import CellRecord
-from ryesaddle.internal.routing.member import Member
+from ryesaddle.internal.membership.roster import Roster
 
 HEARTBEAT_S = 0.5
 LEASE_S = 3.0
@@ -24,18 +20,6 @@
 READ_LEASE_S = 1.0
 FETCH_S = 0.4
 READ_LEASE_LIMIT_S = 30.0
-MEMBER_TIMEOUT_S = 2.5
-WRITE_RECORD_S = 0.2
-
-
-@dataclass(slots=True)
-class _Heard:
-    member: Member
-    at: float
-    digest: int = 0
-
-    def __post_init__(self):
-        self.digest = self.member.digest()
 
 
 class CellMember:
@@ -72,12 +56,7 @@
         self._renew_at = 0.0
         self._read_pause = READ_LEASE_S
         self._last_tick = None
-        self._record = CellRecord(cell)
-        self._record_version = ""
-        self._record_known = False
-        self._writing = False
-        self._write_at = 0.0
-        self._heard = {}
+        self._roster = Roster(cell)
         self._led_since = None
         self._following = False
 
@@ -98,9 +77,7 @@
 
     def followers(self):
         """Return the members that this leader has heard of, itself left out."""
-        return [
-            heard.member for node, heard in self._heard.items() if node != self.me.node
-        ]
+        return [m for m in self._roster.members() if m.node != self.me.node]
 
     def tick(self, now):
         """Return the actions that are due at ``now``."""
@@ -134,30 +111,19 @@
         """Take a member's heartbeat; only the leader answers."""
         if not self.leads:
             return []
-        held = self._heard.get(member.node)
-        if held is None or member.incarnation >= held.member.incarnation:
-            self._heard[member.node] = _Heard(member, now)
+        self._roster.hear(member, now)
         return [SendHeartbeatAck(member.address, self.term, member.digest())]
 
     def beat(self, node, incarnation, address, announcement, now):
         """Take a heartbeat that carries only the digest of an announcement."""
         if not self.leads:
             return []
-        held = self._heard.get(node)
-        known = (
-            held is not None
-            and held.member.incarnation == incarnation
-            and held.digest == announcement
-        )
-        if known:
-            held.at = now
+        known = self._roster.hear_digest(node, incarnation, announcement, now)
         return [SendHeartbeatAck(address, self.term, announcement if known else 0)]
 
     def leave(self, node, incarnation):
         """Forget a member that has stopped."""
-        held = self._heard.get(node)
-        if held and held.member.incarnation == incarnation:
-            del self._heard[node]
+        self._roster.leave(node, incarnation)
 
     def acknowledged(self, term, announcement, now):
         """Take the leader's acknowledgement of a heartbeat."""
@@ -218,13 +184,7 @@
         """Take the cell record, as listed or watched in the store."""
         if self._yields_to(record):
             self._step_down(now)
-        if record.generation < self._record.generation:
-            return
-        self._record, self._record_version = record, version
-        if self.leads and not self._record_known:
-            self._record_known = True
-            for member in record.members:
-                self._heard.setdefault(member.node, _Heard(member, now))
+        self._roster.record_read(record, version, self.leads, now)
 
     def _yields_to(self, record):
         # The store shows a record of a later leader before this one has noticed
@@ -233,15 +193,12 @@
 
     def record_written(self, ok, now):
         """Take the result of `WriteRecord`."""
-        self._writing = False
-        self._write_at = now + WRITE_RECORD_S
-        if not ok:
-            self._record_known = False
+        self._roster.record_written(ok, now)
 
     def record_absent(self):
         """Note that the store was listed and has no record of this cell."""
         if self.leads:
-            self._record_known = True
+            self._roster.record_absent()
 
     def _follow(self, now):
         actions = []
@@ -280,9 +237,7 @@
 
     def _begin(self, now):
         self._led_since = now
-        self._record_known = False
-        self._writing = False
-        self._heard = {}
+        self._roster.begin()
 
     def _lead(self, now):
         actions = []
@@ -293,13 +248,9 @@
             )
             self._pending_lease = renewed
             actions.append(WriteLease(renewed, self._lease_version))
-        self._refresh_own(now)
-        self._heard = {
-            node: heard
-            for node, heard in self._heard.items()
-            if now - heard.at < MEMBER_TIMEOUT_S
-        }
-        return actions + self._write_record(now)
+        self._roster.hear(self.me, now)
+        self._roster.drop_silent(now)
+        return actions + self._roster.due(self.term, now)
 
     def _step_down(self, now):
         self._led_since = None
@@ -307,29 +258,10 @@
         self._lease_seen_at = None
         self._next_read = now
 
-    def _refresh_own(self, now):
-        held = self._heard.get(self.me.node)
-        if held is None or held.member != self.me:
-            self._heard[self.me.node] = _Heard(self.me, now)
-        else:
-            held.at = now
-
     def _reset_after_own_pause(self, now):
         # After a pause of this process, silence of the members proves nothing.
         if self._last_tick is not None and now - self._last_tick > 2 * HEARTBEAT_S:
-            for heard in self._heard.values():
-                heard.at = now
-
-    def _write_record(self, now):
-        members = tuple(h.member for _, h in sorted(self._heard.items()))
-        unchanged = members == self._record.members and self._record.term == self.term
-        if unchanged or self._writing or not self._record_known:
-            return []
-        if now < self._write_at:
-            return []
-        self._writing = True
-        record = CellRecord(self.cell, self.term, self._record.generation + 1, members)
-        return [WriteRecord(record, self._record_version)]
+            self._roster.excuse_silence(now)
 
     def _switch_following(self):
         if self._following == self.leads:
--- a/tests/membership/test_cell.py
+++ b/tests/membership/test_cell.py
@@ -11,7 +11,8 @@
 )
 
 from ryesaddle.internal.membership.action import FetchFromAnyone
-from ryesaddle.internal.membership.cell import MEMBER_TIMEOUT_S, CellMember
+from ryesaddle.internal.membership.cell import CellMember
+from ryesaddle.internal.membership.roster import MEMBER_TIMEOUT_S
 from tests.support.cells import CellWorld
 
 NODES = ("a", "b", "c")
