--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -54,7 +54,7 @@
 def _plot_placement(rows):
     figure, axes = plt.subplots(1, 3, figsize=(15, 4.5))
     for axis, kind in zip(axes, ("equal", "mixed", "one slow")):
-        for policy in POLICIES:
+        for number, policy in enumerate(POLICIES):
             found = [
                 row
                 for row in rows
@@ -63,7 +63,7 @@
             ]
             points = sorted((row["load"], row["p99_wait"]) for row in found)
             if points:
-                axis.plot(*zip(*points), marker="o", label=policy)
+                axis.plot(*zip(*points), marker="o", label=policy, color=f"C{number}")
         axis.set_yscale("log")
         axis.set_xticks(LOADS)
         axis.set_xlabel("load")
