Test the certificate watch and count the store calls of a cell

Cause: re-reading the certificate had no test, and store calls were known by sums only. Seen: the calls of a cell in a minute are the same for 3 and for 12 members, and the record writes for five restarts too; a half-written certificate is refused and tried again.

--- /dev/null
+++ b/tests/daemons/test_certificate.py
@@ -0,0 +1,56 @@
+import os
+import tempfile
+import types
+import unittest
+from pathlib import Path
+
+from ryesaddle.daemons.certificate import CertificateWatch
+from ryesaddle.internal.quic.endpoint import Endpoint, make_configuration
+from ryesaddle.internal.quic.reset import ResetTokens
+from tests.support.certificates import write_certificate
+
+
+class CertificateWatchTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.cert, self.key = write_certificate(self.folder, "first")
+        settings = types.SimpleNamespace(
+            certificate_file=str(self.cert), private_key_file=str(self.key)
+        )
+        cfg = make_configuration(self.cert, self.key)
+        self.endpoint = Endpoint(cfg, ResetTokens(b"k" * 16))
+        self.watch = CertificateWatch(settings, self.endpoint)
+
+    def replace(self, name):
+        write_certificate(self.folder, name)
+        later = self.cert.stat().st_mtime + 10
+        os.utime(self.cert, (later, later))
+
+    def subject(self):
+        return self.endpoint.cfg.certificate.subject.rfc4514_string()
+
+    def test_a_changed_certificate_is_used_for_new_flows(self):
+        before = self.endpoint.cfg
+        self.watch.check()
+        self.assertIs(self.endpoint.cfg, before)
+        self.replace("second")
+        self.watch.check()
+        self.assertEqual(self.subject(), "CN=second")
+        # Open flows hold the earlier configuration, which is left as it was.
+        self.assertEqual(before.certificate.subject.rfc4514_string(), "CN=first")
+
+    def test_a_half_written_certificate_is_refused_and_tried_again(self):
+        self.cert.write_bytes(b"-----BEGIN")
+        self.watch.check()
+        self.assertEqual(self.subject(), "CN=first")
+        self.replace("third")
+        self.watch.check()
+        self.assertEqual(self.subject(), "CN=third")
+
+    def test_a_private_key_that_became_readable_to_others_is_refused(self):
+        self.replace("second")
+        self.key.chmod(0o644)
+        self.watch.check()
+        self.assertEqual(self.subject(), "CN=first")
--- a/tests/membership/test_cell.py
+++ b/tests/membership/test_cell.py
@@ -206,6 +206,30 @@
         ]
         self.assertFalse(any(dropped), dropped)
 
+    def test_store_calls_do_not_grow_with_the_members_of_a_cell(self):
+        calls = []
+        for size in (3, 12):
+            world = CellWorld([f"node-{n}" for n in range(size)])
+            world.settle()
+            before = world.calls
+            world.settle(60.0)
+            calls.append(world.calls - before)
+        self.assertEqual(calls[0], calls[1])
+
+    def test_store_calls_grow_with_changes_not_with_nodes(self):
+        calls = []
+        for size in (3, 12):
+            names = [f"node-{n}" for n in range(size)]
+            world = CellWorld(names)
+            world.settle()
+            before = len(world.records)
+            follower = next(n for n in names if not world.members[n].leads)
+            for _ in range(5):
+                world.restart(follower)
+                world.settle(5.0)
+            calls.append(len(world.records) - before)
+        self.assertEqual(calls[0], calls[1])
+
     def test_a_leader_stays_during_an_outage_of_the_store(self):
         world = CellWorld(NODES)
         world.settle()
--- a/tests/support/cells.py
+++ b/tests/support/cells.py
@@ -41,6 +41,7 @@
         self.record = Stored()
         self.records = []
         self.down = False
+        self.calls = 0
         self.pending = []
         self.messages = []
         self.stopped = set()
@@ -67,6 +68,7 @@
                 case SendHeartbeatAck(address=address, term=term, announcement=held):
                     self.messages.append((address, "ack", (term, held)))
                 case ReadLease() | WriteLease() | WriteRecord():
+                    self.calls += 1
                     self.pending.append((node, me.incarnation, action))
 
     def deliver(self, index, keep=False):
