Take test ports outside the range of client ports, and tell why a start failed

Cause: one start of the real processes in about 130 did not become ready, while a second run was busy beside it; the folder with its logs was gone. The likely cause is a port that was free when it was chosen and taken by a client's socket before its process bound it; this was not confirmed. Ports now come from below the kernel's client range and are never given twice, and a failed start prints exit codes and log ends.

Also: a request body that is too large is not collected any further (413, not run; new test).

--- a/src/ryesaddle/daemons/exchange.py
+++ b/src/ryesaddle/daemons/exchange.py
@@ -68,6 +68,8 @@
 
     def feed(self, data, end):
         """Take a part of the request body."""
+        if self._body_done.done():
+            return  # What follows a body that is too large is not kept.
         self._body += data
         if len(self._body) > MAX_BODY_BYTES:
             self._finish_body(False)
--- a/tests/processes/test_flows.py
+++ b/tests/processes/test_flows.py
@@ -59,6 +59,16 @@
                 reply = await caller.request("GET", f"/status/{number}")
                 self.assertIn(f'"case": "{number}"'.encode(), reply.body)
 
+    async def test_a_body_that_is_too_large_is_refused_and_not_run(self):
+        async with self.deployment.call("case-desk") as caller:
+            headers = [("x-request-id", "large")]
+            reply = await caller.request("POST", "/reply", headers, bytes(3 * 2**20))
+            self.assertEqual((reply.status, reply.outcome), (413, "not-run"))
+            reply = await caller.request("GET", "/status/3")
+            self.assertEqual(reply.status, 200)
+        executed = {item["request_id"] for item in await self.deployment.executed()}
+        self.assertNotIn("large", executed)
+
     async def test_a_request_past_its_deadline_is_answered_as_unknown(self):
         async with self.deployment.call("case-desk") as caller:
             headers = [("x-request-timeout", "0.5"), ("x-request-id", "late")]
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -24,11 +24,25 @@
 STOP_TIMEOUT_S = 20.0
 
 
+# The kernel gives clients ports from 32768 on, so none of these is taken by a
+# client's socket between its choice and its use.
+PORTS = range(10_000, 32_000)
+_chosen = set()
+
+
 def free_port(kind=socket.SOCK_STREAM, host="127.0.0.1"):
-    """Return a port that nothing is bound to now."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+    """Return a port that nothing is bound to and that was not returned before."""
+    while True:
+        port = random.SystemRandom().choice(PORTS)
+        if port in _chosen:
+            continue
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                continue
+        _chosen.add(port)
+        return port
 
 
 class Deployment:
@@ -261,7 +275,18 @@
             if await condition():
                 return
             await asyncio.sleep(0.1)
-        raise AssertionError(f"not reached in {START_TIMEOUT_S} s: {what}")
+        raise AssertionError(
+            f"not reached in {START_TIMEOUT_S} s: {what}\n{self._describe()}"
+        )
+
+    def _describe(self):
+        """Return which processes have ended, and the last lines of each log."""
+        lines = []
+        for name, process in self.processes.items():
+            log = (self.folder / f"{name}.log").read_text(errors="replace")
+            lines.append(f"{name}: exit code {process.poll()}")
+            lines += [f"  {line[:200]}" for line in log.splitlines()[-3:]]
+        return "\n".join(lines)
 
     def stop(self):
         """End everything that was started, members first."""
