Give up a claim view that can never be installed

Cause: a coordinator that died between committing a view and installing it, together with a member of the view before, left members waiting for claims that nobody has: they were still announced, so the next change waited for them for ever, and keyed submissions stayed undecided. Found by reading. Ruled out: giving up whenever a majority is missing, which would forget claims of a member that is only slow.

A member counts as recoverable while it does not answer or holds the view.

--- a/src/ryesaddle/daemons/views.py
+++ b/src/ryesaddle/daemons/views.py
@@ -66,11 +66,6 @@
             except StoreError as exc:
                 warn(log, "claim-view-waits", reason=exc)
 
-    def holds_claims(self):
-        """Whether this agent is a member of the newest view that it knows."""
-        view = self._claims.acceptor.view
-        return view is not None and not self._claims.acceptor.sealed
-
     async def _advance(self):
         wanted = self._wanted()
         if not wanted or wanted[0] != self._me:
@@ -148,14 +143,23 @@
         old = self._committed
         found = await self._seal(old)
         covered = old.is_covered_by(found)
-        missing = set(old.members) - found.keys()
-        if not covered and any(self._claims.address_of(m) for m in missing):
-            return  # A member that is still announced may yet answer.
+        if not covered and await self._may_recover(old, found):
+            return
         handover = combine(found.values()) if covered else Handover()
         view = ClaimView(old.number + 1, wanted, old.members, lost=not covered)
         await self._commit(view, handover)
         await self._install(wanted)
 
+    async def _may_recover(self, view, found):
+        """Whether the members without a handover may yet have or get one."""
+        if self._handover is not None:
+            return True  # Those that lack the view will be given it.
+        for member in set(view.members) - found.keys():
+            announced = self._claims.address_of(member) is not None
+            if announced and await self._number_of(member) in (None, view.number):
+                return True  # It has not answered, or holds the view.
+        return False
+
     async def _seal(self, view):
         path = f"/claims/seal/{view.number}"
         bodies = await asyncio.gather(
@@ -168,9 +172,10 @@
         }
 
     async def _number_of(self, member):
+        """Return the number of the view that a member holds, None if it is silent."""
         address = self._claims.address_of(member, "control")
         body = address and await self._node.control.get(address, "/claims/view")
-        return msgspec.json.decode(body, type=int) if body else 0
+        return msgspec.json.decode(body, type=int) if body else None
 
     async def _post(self, member, path, value):
         address = self._claims.address_of(member, "control")
