--- a/src/ryesaddle/daemons/views.py
+++ b/src/ryesaddle/daemons/views.py
@@ -16,6 +16,7 @@
 
 CLAIM_VIEWS = "claimviews"
 PERIOD_S = 0.3
+LOST_AFTER_S = 5.0
 
 
 class Installation(msgspec.Struct, frozen=True):
@@ -51,6 +52,7 @@
         self._version = None
         self._handover = None
         self._installed = set()
+        self._uncovered_since = None
         node.server.route("GET", "/claims/view", self._serve_view)
         node.server.route("POST", "/claims/seal/{number}", self._serve_seal)
         node.server.route("POST", "/claims/install", self._serve_install)
@@ -85,6 +87,7 @@
         return tuple(sorted(ClaimMember(m.node, m.incarnation) for m in staying))
 
     def _forget(self):
+        self._uncovered_since = None
         self._version = self._committed = self._handover = None
         self._installed = set()
 
@@ -143,13 +146,22 @@
         old = self._committed
         found = await self._seal(old)
         covered = old.is_covered_by(found)
-        if not covered and await self._may_recover(old, found):
+        if covered:
+            self._uncovered_since = None
+        elif await self._may_recover(old, found) or not self._is_lost_for_long():
             return
         handover = combine(found.values()) if covered else Handover()
         view = ClaimView(old.number + 1, wanted, old.members, lost=not covered)
         await self._commit(view, handover)
         await self._install(wanted)
 
+    def _is_lost_for_long(self):
+        # A view that is still spreading may lack members that are well.
+        now = asyncio.get_running_loop().time()
+        if self._uncovered_since is None:
+            self._uncovered_since = now
+        return now - self._uncovered_since >= LOST_AFTER_S
+
     async def _may_recover(self, view, found):
         """Whether the members without a handover may yet have or get one."""
         if self._handover is not None:
