Let claims be lost whose members are gone for good

A coordinator kept the handover of the view it had installed, and took that for a sign that the claims may yet be recovered, even when their members were gone; keyed submissions would then stay undecided for ever. The handover counts only for members that are still announced.

--- a/src/ryesaddle/daemons/views.py
+++ b/src/ryesaddle/daemons/views.py
@@ -164,11 +164,12 @@
 
     async def _may_recover(self, view, found):
         """Whether the members without a handover may yet have or get one."""
-        if self._handover is not None:
-            return True  # Those that lack the view will be given it.
         for member in set(view.members) - found.keys():
-            announced = self._claims.address_of(member) is not None
-            if announced and await self._number_of(member) in (None, view.number):
+            if self._claims.address_of(member) is None:
+                continue
+            if self._handover is not None:
+                return True  # It will be given the view if it lacks it.
+            if await self._number_of(member) in (None, view.number):
                 return True  # It has not answered, or holds the view.
         return False
 
--- a/tests/daemons/test_views.py
+++ b/tests/daemons/test_views.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ryesaddle.daemons.views import ClaimViews
+from ryesaddle.internal.claims.handover import Handover
 from ryesaddle.internal.claims.identity import ClaimMember
 from ryesaddle.internal.claims.view import ClaimView
 from ryesaddle.internal.routing.view import ServiceView
@@ -58,6 +59,17 @@
             await views._advance()
         self.assertEqual([(v.number, v.lost) for v in self.written], [(3, True)])
 
+    async def test_claims_of_members_that_are_gone_are_lost_though_once_handed_over(
+        self,
+    ):
+        views = self.coordinate(number_of_other=0)
+        await views._read()
+        views._committed = ClaimView(2, (DEAD,))
+        views._handover = Handover()
+        with mock.patch("ryesaddle.daemons.views.LOST_AFTER_S", 0.0):
+            await views._change((ME, OTHER))
+        self.assertEqual([(v.number, v.lost) for v in self.written], [(3, True)])
+
     async def test_a_member_that_does_not_answer_is_waited_for(self):
         await self.coordinate(number_of_other=None)._advance()
         self.assertEqual(self.written, [])
