--- a/src/ryesaddle/errors.py
+++ b/src/ryesaddle/errors.py
@@ -49,7 +49,3 @@
 
 class UncertainWriteError(StoreError):
     """A write was sent but its answer was lost."""
-
-
-class ClaimError(RyesaddleError):
-    """An idempotency key could not be claimed before the deadline."""
--- a/tests/support/claims.py
+++ b/tests/support/claims.py
@@ -2,8 +2,6 @@
 
 import random
 
-import msgspec
-
 from ryesaddle.internal.claims.acceptor import Acceptor
 from ryesaddle.internal.claims.claimant import Claimant, ClaimStatus
 from ryesaddle.internal.claims.handover import Handover, combine
@@ -132,7 +130,6 @@
             return None
         members = tuple(self.agents[name].me for name in names)
         self.committed = ClaimView(view.number + 1, members, view.members)
-        self.handover = combine(pool.values())
         return self.committed
 
     def install(self, name, coordinator):
@@ -170,8 +167,3 @@
     agent.acceptor.install(world.committed, Handover(), world.now)
     agent.claimant.change_view(world.committed, world.now)
     agent.claimant._sequence = 1_000 * int(world.now + 1)
-
-
-def replaced(view, **changes):
-    """Return a copy of a view with changes."""
-    return msgspec.structs.replace(view, **changes)
