--- a/src/ryesaddle/cli/operator.py
+++ b/src/ryesaddle/cli/operator.py
@@ -20,6 +20,7 @@
 from ryesaddle.internal.journal.entry import JournalEntry
 from ryesaddle.internal.membership.snapshot import CellRecord
 from ryesaddle.internal.store.client import StoreClient
+from ryesaddle.internal.store.kubernetes import KubernetesApi
 from ryesaddle.settings import read_peer_key
 
 APPLY_ATTEMPTS = 5
@@ -88,9 +89,8 @@
 
     async def __aenter__(self):
         self._session = aiohttp.ClientSession()
-        self._store = StoreClient(
-            self._settings.store_url, self._session, random.Random()
-        )
+        api = KubernetesApi(self._settings.store_url, self._session)
+        self._store = StoreClient(api, random.Random())
         key = read_peer_key(self._settings.peer_key_file)
         self._control = ControlClient(self._session, bearer(key))
         return self
--- a/src/ryesaddle/daemons/node.py
+++ b/src/ryesaddle/daemons/node.py
@@ -20,7 +20,9 @@
 from ryesaddle.internal.membership.cell import CellMember
 from ryesaddle.internal.metrics import Metrics
 from ryesaddle.internal.routing.member import Member
+from ryesaddle.internal.statsd_sink import StatsdSink
 from ryesaddle.internal.store.client import StoreClient
+from ryesaddle.internal.store.kubernetes import KubernetesApi
 from ryesaddle.internal.wire.codec import Codec
 from ryesaddle.internal.wire.control import Ping, Pong
 from ryesaddle.settings import read_peer_key
@@ -108,10 +110,13 @@
         target=target,
     )
     rng = random.Random(me.incarnation)
-    metrics = Metrics(settings.statsd, f"ryesaddle.{settings.node}")
+    sink = None
+    if settings.statsd is not None:
+        sink = StatsdSink(settings.statsd, f"ryesaddle.{settings.node}")
+    metrics = Metrics(sink)
     session = aiohttp.ClientSession()
     peer = PeerSocket(Codec(peer_key), me, metrics)
-    store = StoreClient(settings.store_url, session, rng)
+    store = StoreClient(KubernetesApi(settings.store_url, session), rng)
     control = ControlClient(session, bearer(peer_key))
     server = ControlServer(settings.control, bearer(peer_key))
     cell = CellMember(settings.cell, me, rng)
--- /dev/null
+++ b/src/ryesaddle/daemons/passing.py
@@ -0,0 +1,115 @@
+"""The UDP socket for messages between processes that pass packets through."""
+
+import asyncio
+import logging
+
+from ryesaddle.errors import WireError
+from ryesaddle.internal.address import Address
+from ryesaddle.internal.log import warn
+from ryesaddle.internal.wire.passing import decode_message, encode_message
+
+log = logging.getLogger(__name__)
+
+DROP_LOG_S = 1.0
+
+
+class MessageSocket(asyncio.DatagramProtocol):
+    """Sends messages and hands received ones to the handler of their type.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Where dropped datagrams are counted.
+    """
+
+    def __init__(self, metrics):
+        self._metrics = metrics
+        self._transport = None
+        self._handlers = {}
+        self._next_log = 0.0
+
+    async def open(self, sock):
+        """Use a bound socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, sock=sock)
+
+    def close(self):
+        """Release the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def on(self, kind, handler):
+        """Call ``handler(message, address)`` for each message of a type."""
+        self._handlers[kind] = handler
+
+    def send(self, address, msg):
+        """Send one message."""
+        self._transport.sendto(encode_message(msg), address)
+
+    def connection_made(self, transport):
+        """Keep the transport."""
+        self._transport = transport
+
+    def error_received(self, exc):
+        """Count an error that the kernel reports for an earlier datagram."""
+        self._metrics.count("peer.unreachable")
+
+    def datagram_received(self, data, addr):
+        """Decode one datagram and hand it on."""
+        try:
+            msg = decode_message(data)
+        except WireError as exc:
+            self._metrics.count("peer.dropped")
+            self._log_dropped(addr, exc)
+            return
+        handler = self._handlers.get(type(msg))
+        if handler is None:
+            self._metrics.count("peer.unhandled")
+            return
+        handler(msg, Address(*addr[:2]))
+
+    def _log_dropped(self, addr, exc):
+        # A flood of forged datagrams must not become a flood of log lines.
+        now = asyncio.get_running_loop().time()
+        if now >= self._next_log:
+            self._next_log = now + DROP_LOG_S
+            warn(log, "peer-dropped", source=f"{addr[0]}:{addr[1]}", reason=exc)
+
+
+class PacketSocket(asyncio.DatagramProtocol):
+    """Receives the packets of callers or of a target.
+
+    Parameters
+    ----------
+    on_packet : callable
+        Called with the datagram and its source.
+    """
+
+    def __init__(self, on_packet):
+        self._on_packet = on_packet
+        self._transport = None
+
+    async def open(self, sock):
+        """Use a bound socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, sock=sock)
+
+    def close(self):
+        """Release the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def send(self, data, address):
+        """Send one datagram."""
+        self._transport.sendto(data, address)
+
+    def connection_made(self, transport):
+        """Keep the transport."""
+        self._transport = transport
+
+    def error_received(self, exc):
+        """Ignore the kernel's reports: a silent target shows in its heartbeats."""
+
+    def datagram_received(self, data, addr):
+        """Hand one datagram on."""
+        self._on_packet(data, addr)
--- a/src/ryesaddle/internal/log.py
+++ b/src/ryesaddle/internal/log.py
@@ -1,6 +1,7 @@
 """Log lines of key=value pairs."""
 
 import logging
+import sys
 
 import msgspec
 
@@ -26,7 +27,7 @@
 
 def set_up_logging(level, node):
     """Send log lines of ``level`` and above to standard error."""
-    handler = logging.StreamHandler()
+    handler = logging.StreamHandler(sys.stdout)
     handler.setFormatter(KeyValueFormatter())
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- /dev/null
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -0,0 +1,171 @@
+"""What a balancer knows of the agents, from their reports and from the store."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from ryesaddle.internal.address import Address
+from ryesaddle.internal.routing.member import Member
+from ryesaddle.internal.routing.view import ServiceView
+from ryesaddle.internal.wire.passing import Report
+
+
+class TargetEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """What the store holds of an agent and its target.
+
+    Attributes
+    ----------
+    node, service, data_centre : str
+        The agent, the service it serves, and where it runs.
+    address : Address
+        Where it receives datagrams.
+    target : str
+        Identifier of the target.
+    draining : bool
+        Whether the target is about to stop.
+    """
+
+    node: str
+    service: str
+    data_centre: str
+    address: Address
+    target: str = ""
+    draining: bool = False
+
+
+@dataclass(slots=True)
+class _Agent:
+    member: Member
+    open: bool
+    slots: int
+    load: float = 0.0
+    sequence: int = 0
+    sent: int = 0
+    heard_at: float | None = None
+
+
+class Directory:
+    """The agents by service; reports go before entries of the store."""
+
+    def __init__(self):
+        self._agents = {}
+        self._views = {}
+        self._version = 0
+
+    def __len__(self):
+        return len(self._agents)
+
+    def view(self, service):
+        """Return the `ServiceView` of a service, or None if no agent serves it."""
+        view = self._views.get(service)
+        if view is None:
+            view = self._build(service)
+            if view is not None:
+                self._views[service] = view
+        return view
+
+    def members(self):
+        """Return all agents as `Member` items."""
+        return [agent.member for agent in self._agents.values()]
+
+    def find(self, node):
+        """Return the `Member` of that name, or None."""
+        agent = self._agents.get(node)
+        return None if agent is None else agent.member
+
+    def hear(self, report: Report, now):
+        """Take a report; return what it changes, as a word for the log, or None."""
+        held = self._agents.get(report.node)
+        if held is not None and held.heard_at is not None:
+            age = (report.incarnation, report.sequence)
+            if age <= (held.member.incarnation, held.sequence):
+                return None
+        member = Member(
+            node=report.node,
+            incarnation=report.incarnation,
+            address=report.address,
+            control=report.address,
+            data_centre=report.data_centre,
+            service=report.service,
+            target=report.target,
+            draining=report.draining,
+        )
+        agent = _Agent(
+            member,
+            report.open,
+            report.slots,
+            report.load,
+            report.sequence,
+            heard_at=now,
+        )
+        self._agents[report.node] = agent
+        if held is not None and (held.member, held.open) == (member, report.open):
+            return None
+        self._forget_views(held, member)
+        if held is None or held.member.target != member.target:
+            return "appeared"
+        return "open" if report.open else "closed"
+
+    def list(self, entries):
+        """Take entries of the store for agents that have not reported yet."""
+        for entry in entries:
+            if entry.node in self._agents:
+                continue
+            member = Member(
+                node=entry.node,
+                incarnation=0,
+                address=entry.address,
+                control=entry.address,
+                data_centre=entry.data_centre,
+                service=entry.service,
+                target=entry.target,
+                draining=entry.draining,
+            )
+            self._agents[entry.node] = _Agent(member, not entry.draining, 1)
+            self._forget_views(None, member)
+
+    def remove(self, node):
+        """Forget an agent."""
+        agent = self._agents.pop(node, None)
+        if agent is not None:
+            self._forget_views(agent, agent.member)
+
+    def sent(self, node):
+        """Note a new flow on its way to an agent, for its load until it reports."""
+        agent = self._agents.get(node)
+        if agent is not None:
+            agent.sent += 1
+
+    def load(self, member):
+        """Return the work at an agent's target for each of its slots."""
+        agent = self._agents.get(member.node)
+        if agent is None:
+            return 0.0
+        return agent.load + agent.sent / agent.slots
+
+    def silent(self, now, limit_s):
+        """Return the agents that have not reported for ``limit_s`` seconds."""
+        return [
+            agent.member
+            for agent in self._agents.values()
+            if agent.heard_at is None or now - agent.heard_at > limit_s
+        ]
+
+    def heard_at(self, node):
+        """Return when an agent has last reported, or None."""
+        agent = self._agents.get(node)
+        return None if agent is None else agent.heard_at
+
+    def _forget_views(self, held, member):
+        self._version += 1
+        self._views.pop(member.service, None)
+        if held is not None:
+            self._views.pop(held.member.service, None)
+
+    def _build(self, service):
+        agents = [a for a in self._agents.values() if a.member.service == service]
+        if not agents:
+            return None
+        closed = frozenset(a.member.node for a in agents if not a.open)
+        members = tuple(a.member for a in agents)
+        return ServiceView(service, self._version, members, closed)
--- a/src/ryesaddle/internal/metrics.py
+++ b/src/ryesaddle/internal/metrics.py
@@ -1,10 +1,8 @@
-"""Counters and gauges, sent to statsd once a second."""
+"""Counters and gauges of one process."""
 
 import asyncio
 from collections import Counter
 
-import statsd
-
 FLUSH_S = 1.0
 
 
@@ -13,19 +11,15 @@
 
     Parameters
     ----------
-    address : Address or None
-        The statsd server; None keeps the counts in memory only.
-    prefix : str
-        Prefix of every name.
+    sink : StatsdSink or None
+        Where to send what changed; None keeps the counts in memory only.
     """
 
-    def __init__(self, address, prefix):
+    def __init__(self, sink=None):
         self.counts = Counter()
         self.gauges = {}
         self._sent = Counter()
-        self._client = None
-        if address is not None:
-            self._client = statsd.StatsClient(address.host, address.port, prefix=prefix)
+        self._sink = sink
 
     def count(self, name, amount=1):
         """Add to a counter."""
@@ -43,12 +37,12 @@
 
     def flush(self):
         """Send what changed since the last time."""
-        if self._client is None:
+        if self._sink is None:
             return
-        with self._client.pipeline() as pipe:
-            for name, value in self.counts.items():
-                if value != self._sent[name]:
-                    pipe.incr(name, value - self._sent[name])
-            for name, value in self.gauges.items():
-                pipe.gauge(name, value)
+        changed = {
+            name: value - self._sent[name]
+            for name, value in self.counts.items()
+            if value != self._sent[name]
+        }
+        self._sink.send(changed, self.gauges)
         self._sent = Counter(self.counts)
--- a/src/ryesaddle/internal/routing/dispatcher.py
+++ b/src/ryesaddle/internal/routing/dispatcher.py
@@ -9,14 +9,26 @@
 MAX_FLOWS = 500_000
 PROBE_AFTER_S = 0.2
 SUSPECT_AFTER_S = 0.6
+MAX_CANDIDATES = 3  # asking three closes nine tenths of the distance to one queue
 
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
-    """Send the datagram to ``member``; ``reason`` goes to the decision log."""
+    """Send the datagram to ``member``; ``reason`` goes to the decision log.
+
+    Attributes
+    ----------
+    member : Member
+        The agent.
+    reason : str
+        For the decision log.
+    others : tuple of Member
+        Further agents that may take a new flow, best first.
+    """
 
     member: Member
     reason: str
+    others: tuple[Member, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +58,7 @@
     def __len__(self):
         return len(self._owners)
 
-    def route(self, service, caller, opens, view, now):
+    def route(self, service, caller, opens, view, now, copy=0, load=None):
         """Return a `Dispatch` or `Discard` for one datagram.
 
         Parameters
@@ -61,25 +73,48 @@
             The members known now; None if the service is unknown.
         now : float
             Seconds on a monotonic clock.
+        copy : int
+            How often the same opening datagram was sent before; each copy tries
+            another agent, since the ones before have not answered.
+        load : callable, optional
+            Returns the load of a `Member`; without it, rank alone decides.
         """
         if view is None or not view.members:
             return Discard("no-members")
         owner = self._owner(service, caller, view)
-        if owner is not None and not (opens and self.is_suspect(owner, now)):
+        if owner is not None and not (opens and (copy or self.is_suspect(owner, now))):
             self._expect(owner, now)
             return Dispatch(owner, "cached")
+        if opens and load is not None:
+            return self._least_loaded(service, caller, owner, view, now, copy, load)
         return self._ranked(service, caller, opens, view, now)
 
+    def placed(self, service, caller, member):
+        """Remember where a datagram of the flow was sent, until more is known."""
+        self._remember((service, caller), member.identity)
+
+    def search(self, service, caller, opens, asked, view, now):
+        """Return a `Dispatch` to an agent not in ``asked``, or None if none is left.
+
+        Suspects are asked last, since their silence ends the search. A datagram
+        that opens a flow is for open agents only.
+        """
+        left = [
+            m
+            for m in view.members
+            if m.node not in asked and (not opens or view.is_open(m))
+        ]
+        if not left:
+            return None
+        ranked = rank(flow_key(service, caller), left)
+        ranked.sort(key=lambda m: self.is_suspect(m, now))
+        self._expect(ranked[0], now)
+        return Dispatch(ranked[0], "search")
+
     def answered(self, service, caller, node, incarnation, now):
         """Remember that ``node`` owns the flow; return whether that is news."""
         self.heard(node)
-        key = (service, caller)
-        news = self._owners.get(key) != (node, incarnation)
-        self._owners[key] = (node, incarnation)
-        self._owners.move_to_end(key)
-        if len(self._owners) > self._max_flows:
-            self._owners.popitem(last=False)
-        return news
+        return self._remember((service, caller), (node, incarnation))
 
     def heard(self, node):
         """Note that ``node`` is alive."""
@@ -104,6 +139,14 @@
             node: since for node, since in self._silent_since.items() if node in nodes
         }
 
+    def _remember(self, key, identity):
+        news = self._owners.get(key) != identity
+        self._owners[key] = identity
+        self._owners.move_to_end(key)
+        if len(self._owners) > self._max_flows:
+            self._owners.popitem(last=False)
+        return news
+
     def _owner(self, service, caller, view):
         known = self._owners.get((service, caller))
         if known is None:
@@ -122,5 +165,20 @@
         self._expect(chosen, now)
         return Dispatch(chosen, "ranked")
 
+    def _least_loaded(self, service, caller, owner, view, now, copy, load):
+        ranked = rank(flow_key(service, caller), view.members)
+        open_members = [m for m in ranked if view.is_open(m)]
+        alive = [m for m in open_members if not self.is_suspect(m, now)]
+        usable = alive or open_members
+        if copy and owner in usable and len(usable) > 1:
+            usable.remove(owner)
+        if not usable:
+            return Discard("no-open-member")
+        first = (copy * MAX_CANDIDATES) % len(usable)
+        turned = usable[first:] + usable[:first]
+        candidates = sorted(turned[:MAX_CANDIDATES], key=load)
+        self._expect(candidates[0], now)
+        return Dispatch(candidates[0], "least-loaded", tuple(candidates[1:]))
+
     def _expect(self, member, now):
         self._silent_since.setdefault(member.node, now)
--- a/src/ryesaddle/internal/routing/rendezvous.py
+++ b/src/ryesaddle/internal/routing/rendezvous.py
@@ -12,10 +12,11 @@
     ----------
     service : str
         Name of the service.
-    caller : Address
-        Source address of the caller.
+    caller : Address or Flow
+        Source address of the caller, or both ends where a caller may use one port
+        for several flows.
     """
-    return f"{service}|{caller.host}|{caller.port}".encode()
+    return f"{service}|{caller}".encode()
 
 
 def rank(key, members):
--- /dev/null
+++ b/src/ryesaddle/internal/store/kubernetes.py
@@ -0,0 +1,148 @@
+"""An object API that follows the Kubernetes API conventions."""
+
+import aiohttp
+import msgspec
+
+from ryesaddle.errors import (
+    ConflictError,
+    GoneError,
+    StoreUnavailableError,
+    UncertainWriteError,
+)
+from ryesaddle.internal.store.api import Page
+from ryesaddle.internal.store.object import API_PATH, StoreObject, WatchEvent
+
+CALL_TIMEOUT_S = 3.0
+WATCH_TIMEOUT_S = 60
+
+
+class KubernetesApi:
+    """Calls over HTTP; see `ObjectApi`.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the object API.
+    session : aiohttp.ClientSession
+        Connections to use; the caller closes it.
+    """
+
+    def __init__(self, url, session):
+        self._url = url.rstrip("/") + API_PATH
+        self._session = session
+
+    async def read(self, kind, name, stale=False):
+        """Return the `StoreObject`, or None if there is none."""
+        reply = await self._read(f"/{kind}/{name}")
+        return None if reply is None else msgspec.convert(reply, StoreObject)
+
+    async def read_page(self, kind, after="", stale=False):
+        """Return all objects of a kind as one `Page`."""
+        reply = await self._read(f"/{kind}") or {}
+        items = msgspec.convert(reply.get("items", []), tuple[StoreObject, ...])
+        return Page(items, reply.get("metadata", {}).get("resourceVersion", "0"))
+
+    async def write(self, obj):
+        """Create or replace an object; return it as the store holds it."""
+        method, path = ("PUT", f"/{obj.kind}/{obj.metadata.name}")
+        if not obj.metadata.resource_version:
+            method, path = ("POST", f"/{obj.kind}")
+        return await self._write(method, path, obj)
+
+    async def delete(self, kind, name, version):
+        """Remove that version of an object."""
+        await self._write("DELETE", f"/{kind}/{name}?resourceVersion={version}", None)
+
+    async def watch(self, kind, version):
+        """Yield `WatchEvent` items of a kind after ``version``.
+
+        The iteration ends when the server closes the watch; resume it from the
+        last version seen.
+
+        Raises
+        ------
+        GoneError
+            If the history after ``version`` is gone: list again.
+        StoreUnavailableError
+            If the watch cannot be opened or breaks.
+        """
+        params = {
+            "watch": "1",
+            "resourceVersion": version,
+            "allowWatchBookmarks": "true",
+            "timeoutSeconds": str(WATCH_TIMEOUT_S),
+        }
+        timeout = aiohttp.ClientTimeout(
+            sock_connect=CALL_TIMEOUT_S, sock_read=WATCH_TIMEOUT_S
+        )
+        try:
+            async with self._session.get(
+                f"{self._url}/{kind}", params=params, timeout=timeout
+            ) as reply:
+                _check(reply)
+                async for line in reply.content:
+                    event = msgspec.json.decode(line, type=WatchEvent)
+                    if event.type == "ERROR":
+                        raise GoneError("Watch history is gone; list again.")
+                    yield event
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as exc:
+            raise StoreUnavailableError(f"Watch broke ({exc!r}); retry.") from exc
+
+    async def _read(self, path):
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with self._session.get(self._url + path, timeout=timeout) as reply:
+                if reply.status == 404:
+                    return None
+                _check(reply)
+                return msgspec.json.decode(await reply.read())
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as exc:
+            raise StoreUnavailableError(
+                f"Object API did not answer ({exc!r}); retry later."
+            ) from exc
+
+    async def _write(self, method, path, obj):
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with self._session.request(
+                method,
+                self._url + path,
+                data=None if obj is None else msgspec.json.encode(obj),
+                headers={"Content-Type": "application/json"},
+                timeout=timeout,
+            ) as reply:
+                # Only a refusal of the request itself proves that it had no
+                # effect; a server error may follow a write that took effect.
+                if reply.status >= 500:
+                    raise UncertainWriteError("Object API failed during a write.")
+                _check(reply)
+                if obj is None:
+                    return None
+                return msgspec.json.decode(await reply.read(), type=StoreObject)
+        except aiohttp.ClientConnectorError as exc:
+            raise StoreUnavailableError(
+                f"Object API cannot be reached ({exc!r}); retry later."
+            ) from exc
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as exc:
+            raise UncertainWriteError(f"Answer to a write was lost ({exc!r}).") from exc
+
+
+def _check(reply):
+    if reply.status < 400:
+        return
+    if reply.status == 409:
+        raise ConflictError("Object was changed by another writer; read it again.")
+    if reply.status == 410:
+        raise GoneError("Watch history is gone; list again.")
+    exc = StoreUnavailableError(
+        f"Object API answered {reply.status}; retry later or check store_url."
+    )
+    exc.retry_after = _seconds(reply.headers.get("Retry-After"))
+    raise exc
+
+
+def _seconds(text):
+    try:
+        return min(float(text or 0), 30.0)
+    except ValueError:
+        return 0.0
--- /dev/null
+++ b/src/ryesaddle/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: translates its messages, decides nothing."""
--- /dev/null
+++ b/src/ryesaddle/platform/configuration.py
@@ -0,0 +1,73 @@
+"""Translates the operator's configuration object into a `RouteTable`."""
+
+from ryesaddle.internal.address import Address
+from ryesaddle.internal.routing.route import Route, RouteTable, Share
+
+KIND = "config"
+NAME = "main"
+DEFAULT_IDLE_MS = 15_000
+DEFAULT_TIMEOUT_MS = 30_000
+DEFAULT_PRIORITY = 9
+REPEATABLE = ("idempotent", "download")
+
+
+def read_routes(spec):
+    """Return the `RouteTable` in a specification, and what was left out.
+
+    Parameters
+    ----------
+    spec : dict
+        Specification of the configuration object.
+
+    Returns
+    -------
+    tuple of RouteTable or None, list of str
+        None if the whole object cannot be used.
+    """
+    version = spec.get("version")
+    if type(version) is not int or not isinstance(spec.get("routes"), list):
+        return None, ["no version or no routes"]
+    routes, problems = {}, []
+    for item in spec["routes"]:
+        try:
+            front, route = _read_route(item)
+        except (KeyError, TypeError, ValueError, AttributeError) as exc:
+            problems.append(f"route left out: {exc!r}")
+            continue
+        routes[front] = route
+    limits = spec.get("limits")
+    idle_ms = limits.get("idleTimeoutMs") if isinstance(limits, dict) else None
+    idle_s = _number(idle_ms, DEFAULT_IDLE_MS) / 1000
+    return RouteTable(version, tuple(routes.items()), idle_s), problems
+
+
+def _read_route(item):
+    # The name misleads: a prefix holds the port, between slashes.
+    port = int(item["pathPrefix"].strip("/"))
+    if not 0 < port < 65_536 or not isinstance(item["host"], str):
+        raise ValueError(f"not an address: {item['host']}:{port}")
+    if item.get("service"):
+        shares = (Share(str(item["service"]), 1.0),)
+    else:
+        shares = tuple(
+            Share(str(part["service"]), float(_number(part.get("weight"), 1)))
+            for part in item["backends"]
+        )
+    if not shares:
+        raise ValueError("no service")
+    timeout_ms = _number(item.get("timeoutMs"), DEFAULT_TIMEOUT_MS)
+    route = Route(
+        name=str(item.get("name", "")),
+        shares=shares,
+        timeout_s=timeout_ms / 1000,
+        objective_s=_number(item.get("targetLatencyMs"), timeout_ms) / 1000,
+        priority=int(_number(item.get("priority"), DEFAULT_PRIORITY)),
+        repeatable=item.get("type") in REPEATABLE,
+    )
+    return Address(item["host"], port), route
+
+
+def _number(value, default):
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        return default
+    return value
--- /dev/null
+++ b/src/ryesaddle/platform/objects.py
@@ -0,0 +1,208 @@
+"""The platform's metadata store as an `ObjectApi`."""
+
+from urllib.parse import quote
+
+import msgspec
+
+from ryesaddle.daemons.http import HttpError, call
+from ryesaddle.errors import (
+    ConflictError,
+    GoneError,
+    StoreUnavailableError,
+    UncertainWriteError,
+)
+from ryesaddle.internal.store.api import Page
+from ryesaddle.internal.store.object import Metadata, StoreObject, WatchEvent
+
+PREFIX = "/ryesaddle/objects"
+CALL_TIMEOUT_S = 1.0  # an answer takes 4 ms; a hundred times that when slow
+WATCH_WAIT_S = 20.0  # below the 30 s that the store permits
+WATCH_SLACK_S = 2.0  # for the way there and back
+ANNOTATIONS = "annotations"
+CONTENT = "content"
+
+
+class _Meta(msgspec.Struct, frozen=True):
+    name: str
+    revision: int = 0
+
+
+class _Object(msgspec.Struct, frozen=True):
+    meta: _Meta
+    spec: object = None
+
+
+class _Page(msgspec.Struct, frozen=True, rename="camel"):
+    items: list[msgspec.Raw]
+    more: bool = False
+    current_rev: int = 0
+
+
+class _Event(msgspec.Struct, frozen=True):
+    object: msgspec.Raw
+    deleted: bool = False
+
+
+class _Events(msgspec.Struct, frozen=True, rename="camel"):
+    events: list[_Event]
+    current_rev: int
+
+
+class PlatformObjects:
+    """Calls to the metadata store; see `ObjectApi`.
+
+    The store's objects have no annotations. Those that the product writes keep
+    them in the specification, beside the product's own content.
+
+    Parameters
+    ----------
+    address : Address
+        Where the store listens.
+    """
+
+    def __init__(self, address):
+        self._address = address
+
+    async def read(self, kind, name, stale=False):
+        """Return the `StoreObject`, or None if there is none."""
+        query = "?allowStale=1" if stale else ""
+        reply = await self._read(f"/{kind}/{quote(name, safe='')}{query}")
+        return None if reply is None else _decode_object(kind, reply.body)
+
+    async def read_page(self, kind, after="", stale=False):
+        """Return a `Page`; objects that cannot be decoded are left out."""
+        query = [f"after={quote(after, safe='')}"] if after else []
+        if stale:
+            query.append("allowStale=1")
+        path = f"/{kind}" + ("?" + "&".join(query) if query else "")
+        reply = await self._read(path)
+        if reply is None:
+            return Page((), "0")
+        try:
+            page = msgspec.json.decode(reply.body, type=_Page)
+        except msgspec.DecodeError as exc:
+            raise StoreUnavailableError(f"Malformed list ({exc}); retry.") from exc
+        items = [_decode_or_none(kind, raw) for raw in page.items]
+        found = tuple(item for item in items if item is not None)
+        last = _last_name(page.items) if page.more else ""
+        return Page(found, str(page.current_rev), last)
+
+    async def write(self, obj):
+        """Create or replace an object; return it as the store holds it."""
+        meta = {"name": obj.metadata.name}
+        spec = {ANNOTATIONS: obj.metadata.annotations, CONTENT: obj.spec}
+        if obj.metadata.resource_version:
+            meta["revision"] = int(obj.metadata.resource_version)
+            path = f"/{obj.kind}/{quote(obj.metadata.name, safe='')}"
+            method = "PUT"
+        else:
+            method, path = "POST", f"/{obj.kind}"
+        body = msgspec.json.encode({"meta": meta, "spec": spec})
+        reply = await self._write(method, path, body)
+        return _decode_object(obj.kind, reply.body)
+
+    async def delete(self, kind, name, version):
+        """Remove that version of an object; one that is gone is as good."""
+        path = f"/{kind}/{quote(name, safe='')}?revision={version}"
+        await self._write("DELETE", path, None, gone_is_good=True)
+
+    async def watch(self, kind, version):
+        """Yield `WatchEvent` items of a kind after ``version``, until an answer ends.
+
+        Raises
+        ------
+        GoneError
+            If the history after ``version`` is gone: list again.
+        StoreUnavailableError
+            If the store does not answer.
+        """
+        wait_ms = int(WATCH_WAIT_S * 1000)
+        path = f"/{kind}?watch={version}&waitMs={wait_ms}"
+        reply = await self._read(path, WATCH_WAIT_S + WATCH_SLACK_S)
+        if reply is None:
+            raise GoneError("Kind is gone; list again.")
+        try:
+            events = msgspec.json.decode(reply.body, type=_Events)
+        except msgspec.DecodeError as exc:
+            raise StoreUnavailableError(f"Malformed events ({exc}); retry.") from exc
+        for event in events.events:
+            obj = _decode_or_none(kind, event.object)
+            if obj is not None:
+                body = msgspec.to_builtins(obj)
+                yield WatchEvent("DELETED" if event.deleted else "MODIFIED", body)
+        metadata = {"name": "", "resourceVersion": str(events.current_rev)}
+        yield WatchEvent("BOOKMARK", {"kind": kind, "metadata": metadata})
+
+    async def _read(self, path, timeout_s=CALL_TIMEOUT_S):
+        try:
+            reply = await call(self._address, "GET", PREFIX + path, timeout_s=timeout_s)
+        except HttpError as exc:
+            raise StoreUnavailableError(
+                f"Store did not answer ({exc}); retry later."
+            ) from exc
+        if reply.status == 404:
+            return None
+        _check(reply)
+        return reply
+
+    async def _write(self, method, path, body, gone_is_good=False):
+        try:
+            reply = await call(
+                self._address, method, PREFIX + path, body, CALL_TIMEOUT_S
+            )
+        except HttpError as exc:
+            if exc.sent:
+                raise UncertainWriteError(
+                    f"Answer to a write was lost ({exc})."
+                ) from exc
+            raise StoreUnavailableError(
+                f"Store cannot be reached ({exc}); retry later."
+            ) from exc
+        if reply.status == 404:
+            if gone_is_good:
+                return reply
+            raise ConflictError("Object is gone; create it again.")
+        _check(reply)
+        return reply
+
+
+def _check(reply):
+    if reply.status < 300:
+        return
+    if reply.status == 409:
+        raise ConflictError("Object was changed by another writer; read it again.")
+    if reply.status == 410:
+        raise GoneError("Watch history is gone; list again.")
+    raise StoreUnavailableError(f"Store answered {reply.status}; retry later.")
+
+
+def _decode_object(kind, body):
+    try:
+        held = msgspec.json.decode(body, type=_Object)
+    except msgspec.DecodeError as exc:
+        raise StoreUnavailableError(
+            f"Store sent a malformed object ({exc}); retry or repair it."
+        ) from exc
+    spec, annotations = held.spec, {}
+    if isinstance(spec, dict) and spec.keys() == {ANNOTATIONS, CONTENT}:
+        if isinstance(spec[ANNOTATIONS], dict):
+            annotations = {k: str(v) for k, v in spec[ANNOTATIONS].items()}
+        spec = spec[CONTENT]
+    if not isinstance(spec, dict):
+        spec = {}
+    metadata = Metadata(held.meta.name, str(held.meta.revision), annotations)
+    return StoreObject(kind, metadata, spec)
+
+
+def _decode_or_none(kind, raw):
+    try:
+        return _decode_object(kind, raw)
+    except StoreUnavailableError:
+        return None
+
+
+def _last_name(items):
+    try:
+        return msgspec.json.decode(items[-1], type=_Object).meta.name
+    except (IndexError, msgspec.DecodeError):
+        return ""
--- /dev/null
+++ b/src/ryesaddle/platform/role.py
@@ -0,0 +1,80 @@
+"""Wires the product's processes to the platform's protocols."""
+
+import os
+import sys
+
+import uvloop
+
+from ryesaddle.daemons.http import HttpReply
+from ryesaddle.daemons.passing_agent import log_unknown_call
+from ryesaddle.daemons.passing_node import run_passing_agent, run_passing_balancer
+from ryesaddle.daemons.passing_settings import (
+    PassingAgentSettings,
+    PassingBalancerSettings,
+    load_passing_settings,
+)
+from ryesaddle.errors import SettingsError, StoreUnavailableError
+from ryesaddle.platform.configuration import KIND, NAME, read_routes
+from ryesaddle.platform.heartbeat import BEAT, read_heartbeat, read_path
+from ryesaddle.platform.objects import PlatformObjects
+from ryesaddle.platform.packet import PlatformPackets
+
+SETTINGS_VARIABLE = "RYESADDLE_SETTINGS"
+
+
+def run(role, early):
+    """Run a role until it is told to stop.
+
+    Parameters
+    ----------
+    role : str
+        ``balancer`` or ``agent``.
+    early : socket.socket
+        The socket for packets of callers (balancer) or for messages (agent).
+    """
+    path = os.environ[SETTINGS_VARIABLE]
+    try:
+        if role == "balancer":
+            settings = load_passing_settings(path, PassingBalancerSettings)
+            main = run_passing_balancer(
+                settings,
+                early,
+                PlatformPackets(),
+                PlatformObjects(settings.store),
+                _read_configuration,
+            )
+        else:
+            settings = load_passing_settings(path, PassingAgentSettings)
+            main = run_passing_agent(
+                settings,
+                early,
+                PlatformPackets(),
+                PlatformObjects(settings.store),
+                _answer_target,
+            )
+    except SettingsError as exc:
+        sys.exit(f"error: {exc}")
+    uvloop.run(main)
+
+
+async def _read_configuration(store):
+    obj = await store.get(KIND, NAME, attempts=1)
+    if obj is None:
+        return None
+    table, problems = read_routes(obj.spec)
+    if table is None:
+        raise StoreUnavailableError(f"Configuration is malformed: {problems}.")
+    return table
+
+
+def _answer_target(agent, req):
+    found = read_path(req.path)
+    if found is None or req.method != "POST":
+        return log_unknown_call(req)
+    target, verb = found
+    if verb != BEAT:
+        return agent.goodbye(target)
+    report = read_heartbeat(target, req.body)
+    if report is None:
+        return HttpReply(400, b"{}")
+    return agent.heartbeat(report)
--- /dev/null
+++ b/src/ryesaddle/platform/start.py
@@ -0,0 +1,24 @@
+"""Entry point on the platform: ``start.py ROLE ADDRESS``.
+
+The socket at ADDRESS is bound before anything else is imported, so that packets
+that arrive meanwhile wait in it and are not lost.
+"""
+
+import socket
+import sys
+
+
+def bind(text):
+    """Return a UDP socket bound to ``HOST:PORT``."""
+    host, _, port = text.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    sock.bind((host, int(port)))
+    return sock
+
+
+if __name__ == "__main__":
+    early = bind(sys.argv[2])
+    from ryesaddle.platform.role import run
+
+    run(sys.argv[1], early)
--- a/tests/store/test_client.py
+++ b/tests/store/test_client.py
@@ -6,6 +6,7 @@
 
 from ryesaddle.errors import ConflictError, StoreUnavailableError, UncertainWriteError
 from ryesaddle.internal.store.client import StoreClient
+from ryesaddle.internal.store.kubernetes import KubernetesApi
 from ryesaddle.internal.store.mirror import Mirror
 from ryesaddle.internal.store.pacing import Backoff
 from tests.support.deployment import free_port
@@ -26,7 +27,7 @@
 
     def make_client(self, port):
         url = f"http://127.0.0.1:{port}"
-        return StoreClient(url, self.session, random.Random(1), QUICK)
+        return StoreClient(KubernetesApi(url, self.session), random.Random(1), QUICK)
 
     async def asyncTearDown(self):
         await self.session.close()
