--- a/src/ryesaddle/daemons/entry.py
+++ b/src/ryesaddle/daemons/entry.py
@@ -35,6 +35,7 @@
         self._wanted = None
         self._changed = asyncio.Event()
         self.settled = asyncio.Event()
+        self.written = False
 
     def want(self, entry):
         """Have the store hold ``entry``, a struct, or nothing if it is None."""
@@ -81,4 +82,5 @@
         if held is not None and held.spec == wanted:
             return
         await self._store.write(self._kind, self._name, wanted, version)
+        self.written = True
         event(log, "entry-written", kind=self._kind, name=self._name, spec=wanted)
--- a/src/ryesaddle/daemons/passing_balancer.py
+++ b/src/ryesaddle/daemons/passing_balancer.py
@@ -8,6 +8,7 @@
 from ryesaddle.daemons.http import HttpError, HttpReply, call
 from ryesaddle.errors import StoreError
 from ryesaddle.internal.address import Address
+from ryesaddle.internal.config.turn import ReadTurn
 from ryesaddle.internal.log import event, warn
 from ryesaddle.internal.membership.directory import TargetEntry
 from ryesaddle.internal.routing.dispatcher import Discard
@@ -28,7 +29,10 @@
 
 GOSSIP_S = 0.25
 PROBE_S = 0.1
-POLL_S = 1.0  # a third of the shortest bound for a configuration to be in force
+POLL_S = 0.8  # with gossip and a fetch, well within the 3 s for a change
+FRESH_READ_S = 2 * POLL_S  # one read may fail before another balancer steps in
+QUIET_S = 0.8  # a stopping balancer that received nothing for so long is not needed
+REROUTE_S = 1.5  # the fabric probes twice a second and allows two misses
 FETCH_TIMEOUT_S = 1.0
 STATE_PATH = "/state"
 
@@ -103,6 +107,9 @@
         self._source = source
         self._metrics = metrics
         self._peers = {}
+        self._peer_agents = {}
+        self._turn = ReadTurn(settings.node, FRESH_READ_S)
+        self._received_at = 0.0
         self._read_at = None
         self._fetching = False
         self.routes = None
@@ -132,7 +139,8 @@
     async def follow_configuration(self):
         """Read the configuration until cancelled."""
         while True:
-            await self._read_configuration()
+            if self.routes is None or self._turn.is_mine(self._now()):
+                await self._read_configuration()
             await asyncio.sleep(POLL_S)
 
     async def _read_configuration(self):
@@ -160,6 +168,15 @@
         )
         self.routes = table
 
+    async def drain(self, limit_s):
+        """Take no new flows, and carry the open ones while packets arrive."""
+        self.leaving = True
+        self._gossip()
+        end = self._now() + limit_s
+        await asyncio.sleep(REROUTE_S)
+        while self._now() < min(end, self._received_at + QUIET_S):
+            await asyncio.sleep(PROBE_S)
+
     # Other balancers
 
     def know_balancers(self, entries):
@@ -171,9 +188,10 @@
 
     def know_targets(self, entries):
         """Take entries of agents, and ask these for reports."""
-        self._directory.list(entries)
         for entry in entries:
-            self._messages.send(entry.address, self._hello())
+            if self._directory.find(entry.node) is None:
+                self._messages.send(entry.address, self._hello())
+        self._directory.list(entries)
 
     async def gossip(self):
         """Tell other balancers of this one until cancelled."""
@@ -193,6 +211,7 @@
             control=cfg.control,
             version=self.routes.version if self.routes else 0,
             store_age_ms=round(age_s * 1000),
+            agents=self._directory.digest(),
             leaving=self.leaving,
         )
         for address in self._peers:
@@ -207,9 +226,17 @@
             address=msg.address,
             control=msg.control,
         )
+        self._turn.heard(msg.node, msg.store_age_ms / 1000, self._now())
         held = self.routes.version if self.routes else 0
-        if msg.version > held and not self._fetching:
+        # Agents that only the other knows are asked for reports; the difference
+        # that remains, such as agents that are gone, is not looked at again.
+        unseen = msg.agents not in (
+            self._directory.digest(),
+            self._peer_agents.get(msg.node),
+        )
+        if (msg.version > held or unseen) and not self._fetching:
             self._fetching = True
+            self._peer_agents[msg.node] = msg.agents
             asyncio.get_running_loop().create_task(self.fetch_state(msg.control))
 
     async def fetch_state(self, control):
@@ -225,7 +252,7 @@
         if state.routes is not None:
             self.install(state.routes, f"peer {control}")
         self.know_balancers(state.balancers)
-        self._directory.list(state.targets)
+        self.know_targets(state.targets)
         return True
 
     def state(self):
@@ -284,6 +311,7 @@
 
     def on_caller_packet(self, data, addr):
         """Take a datagram of a caller."""
+        self._received_at = self._now()
         packet = self._packets.read_caller(data)
         if packet is None:
             self._metrics.count("balancer.malformed")
--- a/src/ryesaddle/daemons/passing_node.py
+++ b/src/ryesaddle/daemons/passing_node.py
@@ -34,6 +34,7 @@
 BALANCERS = "ryesaddle-balancers"
 TARGETS = "ryesaddle-targets"
 BACKLOG = 128
+STOP_MARGIN_S = 0.5  # kept free of the time before SIGKILL
 READY_PATH = "/ryesaddle/readyz"
 
 
@@ -112,19 +113,26 @@
             balancer.gossip(),
             balancer.probe(),
             entry.run(),
-            _learn(store, balancer, settings),
+            _learn(store, balancer, entry, settings),
         )
     ]
     await stop.wait()
-    balancer.leaving = True
     event(log, "stopping", node=settings.node)
-    await asyncio.sleep(settings.stop_limit_s - 1.0)
+    await balancer.drain(settings.stop_limit_s - STOP_MARGIN_S)
     for task in tasks:
         task.cancel()
     event(log, "stopped", node=settings.node)
 
 
-async def _learn(store, balancer, settings):
+async def _learn(store, balancer, entry, settings):
+    await _learn_entries(store, balancer, settings)
+    # Whoever registers after this list was read sees the entry of this balancer.
+    await entry.settled.wait()
+    if entry.written:
+        await _learn_entries(store, balancer, settings)
+
+
+async def _learn_entries(store, balancer, settings):
     for kind, struct, know in (
         (TARGETS, TargetEntry, balancer.know_targets),
         (BALANCERS, BalancerEntry, balancer.know_balancers),
@@ -206,7 +214,7 @@
         for task in (
             agent.run(),
             entry.run(),
-            _learn_balancers(store, agent, belief, settings),
+            _learn_balancers(store, agent, belief, entry, settings),
         )
     ]
     await stop.wait()
@@ -219,18 +227,34 @@
     event(log, "stopped", node=settings.node)
 
 
-async def _learn_balancers(store, agent, belief, settings):
+async def _learn_balancers(store, agent, belief, entry, settings):
+    await _list_balancers(store, agent)
+    await _restore_belief(store, belief, settings)
+    # Whoever registers after this list was read sees the entry of this agent.
+    await entry.settled.wait()
+    if entry.written:
+        await _list_balancers(store, agent)
+
+
+async def _list_balancers(store, agent):
     try:
         entries = await _list_entries(store, BALANCERS, BalancerEntry)
-        agent.know_balancers([entry.address for entry in entries])
-        agent.report()
+    except StoreError as exc:
+        warn(log, "entries-not-listed", kind=BALANCERS, reason=exc)
+        return
+    agent.know_balancers([found.address for found in entries])
+    agent.report()
+
+
+async def _restore_belief(store, belief, settings):
+    try:
         held = await store.get(TARGETS, settings.node)
         if held is not None:
-            entry = msgspec.convert(held.spec, TargetEntry)
-            if entry.service == settings.service:
-                belief.restore(entry.target, entry.draining)
+            known = msgspec.convert(held.spec, TargetEntry)
+            if known.service == settings.service:
+                belief.restore(known.target, known.draining)
     except (StoreError, msgspec.ValidationError) as exc:
-        warn(log, "entries-not-listed", kind=BALANCERS, reason=exc)
+        warn(log, "entry-not-read", kind=TARGETS, name=settings.node, reason=exc)
 
 
 def _stop_event():
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 import msgspec
+import xxhash
 
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.routing.member import Member
@@ -51,6 +52,7 @@
         self._agents = {}
         self._views = {}
         self._version = 0
+        self._digest = None
 
     def __len__(self):
         return len(self._agents)
@@ -68,6 +70,13 @@
         """Return all agents as `Member` items."""
         return [agent.member for agent in self._agents.values()]
 
+    def digest(self):
+        """Return an integer that differs between different sets of agents."""
+        if self._digest is None:
+            names = sorted(f"{m.node} {m.address}" for m in self.members())
+            self._digest = xxhash.xxh3_64_intdigest("|".join(names).encode())
+        return self._digest
+
     def find(self, node):
         """Return the `Member` of that name, or None."""
         agent = self._agents.get(node)
@@ -158,6 +167,7 @@
 
     def _forget_views(self, held, member):
         self._version += 1
+        self._digest = None
         self._views.pop(member.service, None)
         if held is not None:
             self._views.pop(held.member.service, None)
--- a/src/ryesaddle/internal/routing/rendezvous.py
+++ b/src/ryesaddle/internal/routing/rendezvous.py
@@ -37,6 +37,11 @@
     return sorted(members, key=lambda member: -_score(key, member.node))
 
 
+def rank_names(key, names):
+    """Return names of processes ordered like `rank` orders members."""
+    return sorted(names, key=lambda name: -_score(key, name))
+
+
 def _score(key, node):
     return xxhash.xxh3_64_intdigest(key, seed=_seed(node))
 
--- a/src/ryesaddle/internal/wire/passing.py
+++ b/src/ryesaddle/internal/wire/passing.py
@@ -173,6 +173,8 @@
         Its configuration; 0 if it has none.
     store_age_ms : int
         Time since it last read the configuration from the store, in milliseconds.
+    agents : int
+        Digest of the agents it knows.
     leaving : bool
         Whether it is about to stop.
     """
@@ -184,6 +186,7 @@
     control: Address
     version: int
     store_age_ms: int
+    agents: int = 0
     leaving: bool = False
 
 
