Write entries: a field of a log line may be called name

Cause: the task that keeps the entry in the store ended with a TypeError, since event() took its own first parameter by the name of a field. Change: the event's name is positional only; a task that fails is logged.

--- a/src/ryesaddle/daemons/passing_node.py
+++ b/src/ryesaddle/daemons/passing_node.py
@@ -107,7 +107,7 @@
     entry.want(balancer.entry)
     event(log, "started", node=settings.node, role="balancer", cpu=time.process_time())
     tasks = [
-        asyncio.ensure_future(task)
+        _start(task)
         for task in (
             balancer.follow_configuration(),
             balancer.gossip(),
@@ -210,7 +210,7 @@
     await servers[1].open(bind_tcp(settings.ready))
     event(log, "started", node=settings.node, role="agent", cpu=time.process_time())
     tasks = [
-        asyncio.ensure_future(task)
+        _start(task)
         for task in (
             agent.run(),
             entry.run(),
@@ -257,6 +257,17 @@
         warn(log, "entry-not-read", kind=TARGETS, name=settings.node, reason=exc)
 
 
+def _start(coro):
+    task = asyncio.ensure_future(coro)
+    task.add_done_callback(_log_failure)
+    return task
+
+
+def _log_failure(task):
+    if not task.cancelled() and task.exception() is not None:
+        log.error("task-failed", exc_info=task.exception())
+
+
 def _stop_event():
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
--- a/src/ryesaddle/internal/log.py
+++ b/src/ryesaddle/internal/log.py
@@ -37,13 +37,13 @@
     logging.getLogger("asyncio").setLevel(logging.WARNING)
 
 
-def event(log, name, **pairs):
+def event(log, name, /, **pairs):
     """Log one event with its key=value pairs at INFO."""
     if log.isEnabledFor(logging.INFO):
         log.info(name, extra={"kv": pairs})
 
 
-def warn(log, name, **pairs):
+def warn(log, name, /, **pairs):
     """Log one event with its key=value pairs at WARNING."""
     log.warning(name, extra={"kv": pairs})
 
