--- /dev/null
+++ b/src/ryesaddle/internal/target/__init__.py
@@ -0,0 +1,1 @@
+"""What an agent knows of the target beside it."""
