Start with packets waiting, verify flows of a new target, forget agents that are gone

Cause: after a power loss the first packets were dropped for want of a configuration and of a known target; a restarted agent reset flows of the target that lived; new balancers learnt agents that had left from the others. Change: a balancer and an agent read what they need before they read packets; flows of a target that is replaced are verified by sending their last packet again; an agent whose target has left says so; logs go to standard output without blocking.

--- a/src/ryesaddle/__init__.py
+++ b/src/ryesaddle/__init__.py
@@ -6,33 +6,48 @@
 as an argument. See ``docs/embedding.md``.
 """
 
-from ryesaddle.errors import RyesaddleError
-from ryesaddle.internal.admission.admission import Admission, Decline, Start, Wait
-from ryesaddle.internal.admission.health import Health
-from ryesaddle.internal.claims.acceptor import Acceptor
-from ryesaddle.internal.claims.claimant import Claimant, ClaimStatus
-from ryesaddle.internal.claims.handover import Handover, combine
-from ryesaddle.internal.claims.identity import ClaimId, ClaimMember
-from ryesaddle.internal.claims.proposal import Granted, HeldBy, Send
-from ryesaddle.internal.claims.view import ClaimView
-from ryesaddle.internal.config.model import Limits
-from ryesaddle.internal.membership.cell import CellMember
-from ryesaddle.internal.membership.snapshot import CellRecord, Replica, Snapshot
-from ryesaddle.internal.routing.dispatcher import Discard, Dispatch, Dispatcher
-from ryesaddle.internal.routing.member import Member
-from ryesaddle.internal.routing.owner import (
-    Accept,
-    Arrival,
-    Owner,
-    PassOn,
-    Refuse,
-    Silence,
-)
-from ryesaddle.internal.routing.rendezvous import rank
-from ryesaddle.internal.routing.view import ServiceView
+from importlib import import_module
 
 __version__ = "0.1.0"
 
+# Imported on first use: a process that starts must not wait for parts it never uses.
+_MODULES = {
+    "Accept": "internal.routing.owner",
+    "Acceptor": "internal.claims.acceptor",
+    "Admission": "internal.admission.admission",
+    "Arrival": "internal.routing.owner",
+    "CellMember": "internal.membership.cell",
+    "CellRecord": "internal.membership.snapshot",
+    "ClaimId": "internal.claims.identity",
+    "ClaimMember": "internal.claims.identity",
+    "ClaimStatus": "internal.claims.claimant",
+    "ClaimView": "internal.claims.view",
+    "Claimant": "internal.claims.claimant",
+    "Decline": "internal.admission.admission",
+    "Discard": "internal.routing.dispatcher",
+    "Dispatch": "internal.routing.dispatcher",
+    "Dispatcher": "internal.routing.dispatcher",
+    "Granted": "internal.claims.proposal",
+    "Handover": "internal.claims.handover",
+    "Health": "internal.admission.health",
+    "HeldBy": "internal.claims.proposal",
+    "Limits": "internal.config.model",
+    "Member": "internal.routing.member",
+    "Owner": "internal.routing.owner",
+    "PassOn": "internal.routing.owner",
+    "Refuse": "internal.routing.owner",
+    "Replica": "internal.membership.snapshot",
+    "RyesaddleError": "errors",
+    "Send": "internal.claims.proposal",
+    "ServiceView": "internal.routing.view",
+    "Silence": "internal.routing.owner",
+    "Snapshot": "internal.membership.snapshot",
+    "Start": "internal.admission.admission",
+    "Wait": "internal.admission.admission",
+    "combine": "internal.claims.handover",
+    "rank": "internal.routing.rendezvous",
+}
+
 __all__ = [
     "Accept",
     "Acceptor",
@@ -69,3 +84,9 @@
     "combine",
     "rank",
 ]
+
+
+def __getattr__(name):
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f"{__name__}.{_MODULES[name]}"), name)
--- a/src/ryesaddle/daemons/node.py
+++ b/src/ryesaddle/daemons/node.py
@@ -98,7 +98,7 @@
 
     Must be called inside a running event loop.
     """
-    set_up_logging(settings.log_level, settings.node)
+    set_up_logging(settings.log_level, settings.node, asyncio.get_running_loop())
     peer_key = read_peer_key(settings.peer_key_file)
     me = Member(
         node=settings.node,
--- /dev/null
+++ b/src/ryesaddle/daemons/passing/__init__.py
@@ -0,0 +1,1 @@
+"""Processes that pass packets through to targets that hold their flows."""
--- a/src/ryesaddle/daemons/passing_agent.py
+++ b/src/ryesaddle/daemons/passing/agent.py
@@ -3,10 +3,11 @@
 import asyncio
 import logging
 
-from ryesaddle.daemons.http import HttpReply
-from ryesaddle.internal.log import event, warn
+import msgspec
+
+from ryesaddle.daemons.passing.http import HttpReply
+from ryesaddle.internal.log import event
 from ryesaddle.internal.membership.directory import TargetEntry
-from ryesaddle.internal.routing.packet import Packet
 from ryesaddle.internal.target.belief import Ignored, Taken
 from ryesaddle.internal.target.holder import Deliver, GiveBack, OfferTo
 from ryesaddle.internal.wire.passing import (
@@ -24,7 +25,26 @@
 EXPIRE_S = 1.0
 ACK_REPORTS = 5  # one report in so many asks for a confirmation: one a second
 FORGET_BALANCER_S = 15.0  # longer than any outage that a balancer comes back from
-MAX_AWAITED = 1_024  # packets whose return is possible; a return takes below 1 ms
+MAX_AWAITED = 1_024  # packets that may be returned; a return takes below 1 ms
+
+
+class _Awaited(msgspec.Struct, frozen=True):
+    """A packet at the target that may be returned.
+
+    Attributes
+    ----------
+    token : int
+        Attached to the packet.
+    payload : bytes
+        The packet.
+    carry : Carry or None
+        Its envelope; None if it was sent again only to see whether the target
+        holds its flow.
+    """
+
+    token: int
+    payload: bytes
+    carry: Carry | None
 
 
 class PassingAgent:
@@ -44,7 +64,7 @@
         To balancers and other agents.
     target : PacketSocket
         To the target and to callers.
-    entry : EntryKeeper
+    keeper : EntryKeeper
         The entry in the store.
     metrics : Metrics
         Counters.
@@ -60,7 +80,7 @@
         holder,
         messages,
         target,
-        entry,
+        keeper,
         metrics,
     ):
         self._settings = settings
@@ -71,34 +91,44 @@
         self._holder = holder
         self._messages = messages
         self._target = target
-        self._entry = entry
+        self._keeper = keeper
         self._metrics = metrics
         self._balancers = {}
         self._sequence = 0
         self._awaited = [None] * MAX_AWAITED
         self._token = 0
+        self.knows_target = asyncio.Event()
         messages.on(Carry, self._on_carry)
         messages.on(ReportAck, self._on_ack)
         messages.on(Hello, self._on_hello)
 
+    # Reports
+
     async def run(self):
         """Report and clean up until cancelled."""
-        ticks = 0
+        next_expiry = 0.0
         while True:
             self.report()
-            ticks += 1
-            if ticks * REPORT_S >= EXPIRE_S:
-                ticks = 0
-                self._expire(self._now())
+            now = self._now()
+            if now >= next_expiry:
+                next_expiry = now + EXPIRE_S
+                self._expire(now)
             await asyncio.sleep(REPORT_S)
 
     def know_balancers(self, addresses):
         """Report to the balancers at these addresses from now on."""
         for address in addresses:
             self._balancers.setdefault(address, self._now())
+        self.report()
+
+    def report(self, gone=False):
+        """Tell the balancers how this agent and its target are.
 
-    def report(self):
-        """Tell the balancers how this agent and its target are."""
+        Parameters
+        ----------
+        gone : bool
+            Whether this is the last report, since the target has ended.
+        """
         self._sequence += 1
         belief = self._belief
         report = Report(
@@ -114,15 +144,48 @@
             draining=belief.draining,
             sequence=self._sequence,
             wants_ack=self._sequence % ACK_REPORTS == 1,
+            gone=gone,
         )
         for address in self._balancers:
             self._messages.send(address, report)
 
+    def _expire(self, now):
+        self._flows.expire(now, self._settings.flow_max_s)
+        gone = [a for a, at in self._balancers.items() if now - at > FORGET_BALANCER_S]
+        for address in gone:
+            del self._balancers[address]
+            event(log, "balancer-forgotten", address=address)
+
+    def _on_ack(self, ack, addr):
+        self._balancers[addr] = self._now()
+        if ack.incarnation == self._incarnation:
+            self.restore(ack.target, ack.draining, f"balancer {ack.node}")
+
+    def _on_hello(self, hello, addr):
+        if hello.address not in self._balancers:
+            event(log, "balancer-known", balancer=hello.node, address=hello.address)
+        self._balancers[hello.address] = self._now()
+        self.report()
+
+    # The target
+
+    def restore(self, target, draining, source):
+        """Take what others knew of the target before this process started."""
+        if self._belief.restore(target, draining):
+            event(
+                log,
+                "target-restored",
+                target=target,
+                draining=draining,
+                source=source,
+            )
+            self.knows_target.set()
+
     def heartbeat(self, report):
         """Take a heartbeat of the target; return the `HttpReply`."""
-        decision = self._belief.hear(report, self._now())
-        match decision:
+        match self._belief.hear(report, self._now()):
             case Ignored(reason=reason):
+                self._metrics.count(f"agent.heartbeat_ignored.{reason}")
                 event(
                     log,
                     "heartbeat-ignored",
@@ -131,27 +194,21 @@
                     sequence=report.sequence,
                     reason=reason,
                 )
-            case Taken(change=change) if change != "same":
-                self._note_change(change, report)
+            case Taken(change=change):
+                self._metrics.count("agent.heartbeat")
+                if change != "same":
+                    self._on_target_change(change, report)
         return HttpReply(200, b"{}")
 
     def goodbye(self, target):
         """Take a target's goodbye; return the `HttpReply`."""
         if self._belief.leave(target):
-            event(log, "target-left", target=target)
-            self._reset_all("target-left")
+            event(log, "target", target=target, change="left")
             self.report()
-            self._entry.want(None)
+            self._keeper.want(None)
         return HttpReply(200, b"{}")
 
-    def _expire(self, now):
-        self._flows.expire(now, self._settings.flow_max_s)
-        gone = [a for a, at in self._balancers.items() if now - at > FORGET_BALANCER_S]
-        for address in gone:
-            del self._balancers[address]
-            event(log, "balancer-forgotten", address=address)
-
-    def _note_change(self, change, report):
+    def _on_target_change(self, change, report):
         event(
             log,
             "target",
@@ -161,10 +218,11 @@
             slots=report.slots,
             warm_up_s=report.warm_up_s,
         )
-        if change == "started":
-            self._reset_all("target-restarted")
+        self.knows_target.set()
         self.report()
-        self._entry.want(
+        if change == "started":
+            self._verify_flows()
+        self._keeper.want(
             TargetEntry(
                 node=self._settings.node,
                 service=self._settings.service,
@@ -175,19 +233,23 @@
             )
         )
 
-    def _reset_all(self, reason):
-        for flow, position in self._flows.clear():
-            packet = Packet(flow, position=position)
-            self._target.send(self._packets.reset(packet), self._caller(flow))
-            event(log, "reset", flow=flow, reason=reason)
-            self._metrics.count("agent.reset")
+    def _verify_flows(self):
+        """Send the last packet of each waiting flow again.
+
+        The target before may have taken the flow with it. The present one returns
+        what it does not hold, and the caller need not wait any longer.
+        """
+        for payload in self._flows.waiting():
+            self._to_target(payload, None)
+
+    # Packets
 
     def _on_carry(self, carry, addr):
+        self._balancers[carry.balancer] = self._now()
         packet = self._packets.read_caller(carry.payload)
         if packet is None:
             self._metrics.count("agent.malformed")
             return
-        self._balancers[carry.balancer] = self._now()
         self._perform(self._holder.decide(carry, packet), carry, packet)
 
     def _perform(self, decision, carry, packet):
@@ -202,7 +264,7 @@
                 back = Return(self._settings.node, reason, onward)
                 self._messages.send(carry.balancer, back)
                 self._metrics.count(f"agent.returned.{reason}")
-                self._log_decision("give-back", packet, reason, "")
+                self._log_decision("give-back", packet, reason, carry.balancer)
 
     def _deliver(self, decision, carry, packet):
         now = self._now()
@@ -214,12 +276,16 @@
                 held = Held(self._settings.node, carry.service, caller, front)
                 self._messages.send(carry.balancer, held)
         else:
-            self._flows.from_caller(packet, now)
+            self._flows.from_caller(packet, carry.payload, now)
+        self._to_target(carry.payload, carry)
+        self._metrics.count("agent.delivered")
+
+    def _to_target(self, payload, carry):
         self._token = (self._token + 1) & 0xFFFFFFFF or 1
-        self._awaited[self._token % MAX_AWAITED] = (self._token, carry)
-        data = self._packets.with_token(carry.payload, self._token)
+        awaited = _Awaited(self._token, payload, carry)
+        self._awaited[self._token % MAX_AWAITED] = awaited
+        data = self._packets.with_token(payload, self._token)
         self._target.send(data, self._settings.target_address)
-        self._metrics.count("agent.delivered")
 
     def on_target_packet(self, data, addr):
         """Take a datagram of the target."""
@@ -231,35 +297,33 @@
             self._on_returned(packet)
             return
         self._flows.from_target(packet, self._now())
-        self._target.send(data, self._caller(packet.flow))
+        self._to_caller(data, packet.flow)
         self._metrics.count("agent.answered")
 
     def _on_returned(self, packet):
-        token, carry = self._awaited[packet.token % MAX_AWAITED] or (0, None)
-        if token != packet.token or carry is None:
+        place = packet.token % MAX_AWAITED
+        awaited = self._awaited[place]
+        if awaited is None or awaited.token != packet.token:
             self._metrics.count("agent.return_unknown")
             return
-        self._awaited[packet.token % MAX_AWAITED] = None
-        sent = self._packets.read_caller(carry.payload)
+        sent = self._packets.read_caller(awaited.payload)
         if sent is None or sent.flow != packet.flow:
             self._metrics.count("agent.return_unknown")
             return
-        self._flows.returned(packet.flow)
-        self._perform(self._holder.returned(carry), carry, sent)
-
-    def _on_ack(self, ack, addr):
-        self._balancers[addr] = self._now()
-        if ack.incarnation == self._incarnation:
-            self._belief.restore(ack.target, ack.draining)
+        self._awaited[place] = None
+        self._flows.returned(sent.flow)
+        if awaited.carry is None:
+            self._reset(sent, "target-ended")
+        else:
+            self._perform(self._holder.returned(awaited.carry), awaited.carry, sent)
 
-    def _on_hello(self, hello, addr):
-        if hello.address not in self._balancers:
-            event(log, "balancer-known", balancer=hello.node, address=hello.address)
-        self._balancers[hello.address] = self._now()
-        self.report()
+    def _reset(self, packet, reason):
+        self._to_caller(self._packets.reset(packet), packet.flow)
+        self._metrics.count(f"agent.reset.{reason}")
+        event(log, "reset", flow=packet.flow, reason=reason, target=self._belief.target)
 
-    def _caller(self, flow):
-        return (flow.caller.host, self._settings.callers.port)
+    def _to_caller(self, data, flow):
+        self._target.send(data, (flow.caller.host, self._settings.callers.port))
 
     def _log_decision(self, name, packet, reason, to):
         event(
@@ -274,9 +338,3 @@
 
     def _now(self):
         return asyncio.get_running_loop().time()
-
-
-def log_unknown_call(req):
-    """Answer a call that no agent serves."""
-    warn(log, "unknown-call", method=req.method, path=req.path)
-    return HttpReply(404)
--- /dev/null
+++ b/src/ryesaddle/daemons/passing/agents.py
@@ -0,0 +1,94 @@
+"""What a balancer hears from agents."""
+
+import asyncio
+import logging
+
+from ryesaddle.internal.log import event
+from ryesaddle.internal.membership.directory import TargetEntry
+from ryesaddle.internal.wire.passing import Hello, Report, ReportAck
+
+log = logging.getLogger(__name__)
+
+PROBE_S = 0.1  # half of the time after which an agent that owes an answer is asked
+
+
+class Agents:
+    """Takes the reports of agents and asks those that are silent.
+
+    Parameters
+    ----------
+    entry : BalancerEntry
+        This balancer.
+    messages : MessageSocket
+        Carries reports.
+    directory, dispatcher : Directory, Dispatcher
+        The decisions.
+    """
+
+    def __init__(self, entry, messages, directory, dispatcher):
+        self._entry = entry
+        self._messages = messages
+        self._directory = directory
+        self._dispatcher = dispatcher
+        messages.on(Report, self._on_report)
+
+    def digest(self):
+        """Return an integer that differs between different sets of agents."""
+        return self._directory.digest()
+
+    def entries(self):
+        """Return what is known of the agents as `TargetEntry` items."""
+        return tuple(
+            TargetEntry(
+                node=m.node,
+                service=m.service,
+                data_centre=m.data_centre,
+                address=m.address,
+                target=m.target,
+                draining=m.draining,
+            )
+            for m in self._directory.members()
+        )
+
+    def know(self, entries):
+        """Take entries of agents, and ask these for reports."""
+        hello = Hello(self._entry.node, self._entry.address)
+        for entry in entries:
+            if self._directory.find(entry.node) is None:
+                self._messages.send(entry.address, hello)
+        self._directory.list(entries)
+
+    async def run(self):
+        """Ask agents that owe a sign of life for a report, until cancelled."""
+        hello = Hello(self._entry.node, self._entry.address)
+        while True:
+            await asyncio.sleep(PROBE_S)
+            for node in self._dispatcher.to_probe(self._now()):
+                member = self._directory.find(node)
+                if member is not None:
+                    self._messages.send(member.address, hello)
+
+    def _on_report(self, report, addr):
+        now = self._now()
+        known = self._directory.find(report.node)
+        if report.wants_ack:
+            target = known.target if known else ""
+            draining = known.draining if known else False
+            ack = ReportAck(self._entry.node, report.incarnation, target, draining)
+            self._messages.send(report.address, ack)
+        self._dispatcher.heard(report.node)
+        change = self._directory.hear(report, now)
+        if change is not None:
+            event(
+                log,
+                "agent",
+                agent=report.node,
+                service=report.service,
+                target=report.target,
+                change=change,
+                draining=report.draining,
+                sequence=report.sequence,
+            )
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
--- a/src/ryesaddle/daemons/entry.py
+++ b/src/ryesaddle/daemons/passing/entry.py
@@ -25,6 +25,13 @@
         The entry.
     rng : random.Random
         Source of jitter.
+
+    Attributes
+    ----------
+    settled : asyncio.Event
+        Set while the store is known to hold what is wanted.
+    written : bool
+        Whether this process had to write the entry.
     """
 
     def __init__(self, store, kind, name, rng):
@@ -84,3 +91,21 @@
         await self._store.write(self._kind, self._name, wanted, version)
         self.written = True
         event(log, "entry-written", kind=self._kind, name=self._name, spec=wanted)
+
+
+async def list_entries(store, kind, struct, stale=False):
+    """Return the entries of a kind by name; malformed ones are left out and logged.
+
+    Raises
+    ------
+    StoreUnavailableError
+        If the store does not answer.
+    """
+    objects, _ = await store.list(kind, stale, attempts=1)
+    entries = {}
+    for obj in objects:
+        try:
+            entries[obj.metadata.name] = msgspec.convert(obj.spec, struct)
+        except msgspec.ValidationError as exc:
+            warn(log, "entry-skipped", kind=kind, name=obj.metadata.name, reason=exc)
+    return entries
--- /dev/null
+++ b/src/ryesaddle/daemons/passing/run_agent.py
@@ -0,0 +1,179 @@
+"""Composes and runs the agent beside a target that holds its flows."""
+
+import asyncio
+import logging
+import random
+import time
+
+import msgspec
+
+from ryesaddle.daemons.passing.agent import PassingAgent
+from ryesaddle.daemons.passing.entry import EntryKeeper, list_entries
+from ryesaddle.daemons.passing.http import HttpError, HttpReply, HttpServer, call
+from ryesaddle.daemons.passing.peers import (
+    FETCH_TIMEOUT_S,
+    STATE_PATH,
+    BalancerEntry,
+    SharedState,
+)
+from ryesaddle.daemons.passing.process import (
+    BALANCERS,
+    STOP_MARGIN_S,
+    TARGETS,
+    Supervisor,
+    bind_tcp,
+    bind_udp,
+    stop_event,
+)
+from ryesaddle.daemons.passing.sockets import MessageSocket, PacketSocket
+from ryesaddle.errors import StoreError
+from ryesaddle.internal.log import event, set_up_logging, warn
+from ryesaddle.internal.membership.directory import TargetEntry
+from ryesaddle.internal.metrics import Metrics
+from ryesaddle.internal.store.client import StoreClient
+from ryesaddle.internal.target.belief import TargetBelief
+from ryesaddle.internal.target.flows import TargetFlows
+from ryesaddle.internal.target.holder import Holder
+from ryesaddle.internal.wire.passing import Candidate
+
+log = logging.getLogger(__name__)
+
+LEARN_LIMIT_S = 0.5  # packets wait meanwhile; callers repeat after 0.2 and 0.6 s
+LIST_AGAIN_S = 1.0  # half of the time for entries to be back after an outage
+QUIET_S = 0.15  # no packet for so long: no answer is on its way
+POLL_S = 0.05
+
+
+async def run_agent(settings, early, packets, api, answer_target, ready_path):
+    """Run the agent beside a target until it is told to stop.
+
+    Parameters
+    ----------
+    settings : PassingAgentSettings
+        Settings of the process.
+    early : socket.socket
+        Bound to the address for messages.
+    packets : PacketProtocol
+        Reads and builds packets.
+    api : ObjectApi
+        The platform's object API.
+    answer_target : callable
+        Takes the agent and an `HttpRequest` of the target, returns an `HttpReply`.
+    ready_path : str
+        Where the platform asks whether this agent is ready.
+    """
+    set_up_logging(settings.log_level, settings.node, asyncio.get_running_loop())
+    stop = stop_event()
+    incarnation = time.time_ns()
+    rng = random.Random(incarnation)
+    metrics = Metrics()
+    store = StoreClient(api, rng)
+    belief = TargetBelief(settings.service, settings.heartbeat_ms / 1000)
+    flows = TargetFlows()
+    me = Candidate(settings.node, settings.peer)
+    holder = Holder(me, settings.service, belief, flows)
+    messages = MessageSocket(early, metrics)
+    target = PacketSocket(lambda data, addr: agent.on_target_packet(data, addr))
+    keeper = EntryKeeper(store, TARGETS, settings.node, rng)
+    agent = PassingAgent(
+        settings,
+        incarnation,
+        packets,
+        belief,
+        flows,
+        holder,
+        messages,
+        target,
+        keeper,
+        metrics,
+    )
+
+    def handle(req):
+        if req.path == ready_path:
+            return HttpReply(200)
+        return answer_target(agent, req)
+
+    server = HttpServer(handle)
+    tasks = Supervisor()
+    await target.open(bind_udp(settings.outbound))
+    for address in {settings.ready, settings.control}:
+        await server.open(bind_tcp(address))
+    learning = [
+        asyncio.ensure_future(_learn_balancers(store, agent, settings)),
+        asyncio.ensure_future(_restore_target(store, agent, settings)),
+        asyncio.ensure_future(agent.knows_target.wait()),
+    ]
+    await asyncio.wait(
+        learning, timeout=LEARN_LIMIT_S, return_when=asyncio.FIRST_COMPLETED
+    )
+    await messages.listen()
+    event(log, "started", node=settings.node, role="agent", target=belief.target)
+    tasks.start(agent.run)
+    tasks.start(keeper.run)
+    tasks.start(_complete, store, agent, keeper, settings, learning[0])
+    await stop.wait()
+    event(log, "stopping", node=settings.node, at_work=flows.at_work)
+    holder.draining = True
+    agent.report()
+    await _drain(flows, belief, settings.stop_limit_s - STOP_MARGIN_S)
+    tasks.close()
+    agent.report(gone=not belief.target)
+    event(log, "stopped", node=settings.node, cut=flows.at_work)
+
+
+async def _learn_balancers(store, agent, settings):
+    """Find the balancers; return whether the store told them."""
+    try:
+        entries = await list_entries(store, BALANCERS, BalancerEntry)
+    except StoreError as exc:
+        warn(log, "entries-not-listed", kind=BALANCERS, reason=exc)
+        await _ask_seeds(agent, settings)
+        return False
+    agent.know_balancers([entry.address for entry in entries.values()])
+    return True
+
+
+async def _ask_seeds(agent, settings):
+    for seed in settings.seeds:
+        try:
+            reply = await call(seed, "GET", STATE_PATH, timeout_s=FETCH_TIMEOUT_S)
+            state = msgspec.json.decode(reply.body, type=SharedState)
+        except (HttpError, msgspec.DecodeError) as exc:
+            warn(log, "state-not-fetched", source=seed, reason=exc)
+            continue
+        agent.know_balancers([entry.address for entry in state.balancers])
+        return
+
+
+async def _restore_target(store, agent, settings):
+    try:
+        held = await store.get(TARGETS, settings.node, attempts=1)
+        if held is None:
+            return
+        entry = msgspec.convert(held.spec, TargetEntry)
+    except (StoreError, msgspec.ValidationError) as exc:
+        warn(log, "entry-not-read", kind=TARGETS, reason=exc)
+        return
+    if entry.service == settings.service:
+        agent.restore(entry.target, entry.draining, "store")
+
+
+async def _complete(store, agent, keeper, settings, learning):
+    """List once more if the own entry is new: who registers later has seen it."""
+    learnt = await learning
+    await keeper.settled.wait()
+    while keeper.written or not learnt:
+        learnt = await _learn_balancers(store, agent, settings)
+        if learnt:
+            return
+        await asyncio.sleep(LIST_AGAIN_S)
+
+
+async def _drain(flows, belief, limit_s):
+    """Wait for requests at the target and for answers on their way."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + limit_s
+    while loop.time() < end and belief.target:
+        if not flows.at_work and flows.quiet_s(loop.time()) > QUIET_S:
+            return
+        await asyncio.sleep(POLL_S)
--- a/src/ryesaddle/daemons/passing.py
+++ b/src/ryesaddle/daemons/passing/sockets.py
@@ -18,20 +18,23 @@
 
     Parameters
     ----------
+    sock : socket.socket
+        A bound socket that does not block.
     metrics : Metrics
         Where dropped datagrams are counted.
     """
 
-    def __init__(self, metrics):
+    def __init__(self, sock, metrics):
+        self._sock = sock
         self._metrics = metrics
         self._transport = None
         self._handlers = {}
         self._next_log = 0.0
 
-    async def open(self, sock):
-        """Use a bound socket."""
+    async def listen(self):
+        """Receive messages from now on; those that have arrived are not lost."""
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, sock=sock)
+        await loop.create_datagram_endpoint(lambda: self, sock=self._sock)
 
     def close(self):
         """Release the socket."""
@@ -43,8 +46,13 @@
         self._handlers[kind] = handler
 
     def send(self, address, msg):
-        """Send one message."""
-        self._transport.sendto(encode_message(msg), address)
+        """Send one message, also before `listen`."""
+        sender = self._sock if self._transport is None else self._transport
+        try:
+            sender.sendto(encode_message(msg), address)
+        except OSError:
+            # A full or unreachable network loses datagrams in any case.
+            self._metrics.count("peer.send_failed")
 
     def connection_made(self, transport):
         """Keep the transport."""
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -1,5 +1,6 @@
 """What a balancer knows of the agents, from their reports and from the store."""
 
+from collections import OrderedDict
 from dataclasses import dataclass
 
 import msgspec
@@ -10,6 +11,9 @@
 from ryesaddle.internal.routing.view import ServiceView
 from ryesaddle.internal.wire.passing import Report
 
+SETTLED_S = 1.0  # five reports
+MAX_GONE = 1_024  # agents that late entries may name; each is a name and a number
+
 
 class TargetEntry(msgspec.Struct, frozen=True, kw_only=True):
     """What the store holds of an agent and its target.
@@ -46,10 +50,18 @@
 
 
 class Directory:
-    """The agents by service; reports go before entries of the store."""
+    """The agents by service; reports go before entries of the store.
+
+    Attributes
+    ----------
+    complete : bool
+        Whether every agent that has registered is known, or will report by itself.
+    """
 
     def __init__(self):
+        self.complete = False
         self._agents = {}
+        self._gone = OrderedDict()
         self._views = {}
         self._version = 0
         self._digest = None
@@ -85,10 +97,14 @@
     def hear(self, report: Report, now):
         """Take a report; return what it changes, as a word for the log, or None."""
         held = self._agents.get(report.node)
-        if held is not None and held.heard_at is not None:
-            age = (report.incarnation, report.sequence)
-            if age <= (held.member.incarnation, held.sequence):
-                return None
+        if self._is_old(report, held):
+            return None
+        if report.gone:
+            self._gone[report.node] = report.incarnation
+            if len(self._gone) > MAX_GONE:
+                self._gone.popitem(last=False)
+            self.remove(report.node)
+            return "gone"
         member = Member(
             node=report.node,
             incarnation=report.incarnation,
@@ -118,7 +134,7 @@
     def list(self, entries):
         """Take entries of the store for agents that have not reported yet."""
         for entry in entries:
-            if entry.node in self._agents:
+            if entry.node in self._agents or entry.node in self._gone:
                 continue
             member = Member(
                 node=entry.node,
@@ -130,7 +146,8 @@
                 target=entry.target,
                 draining=entry.draining,
             )
-            self._agents[entry.node] = _Agent(member, not entry.draining, 1)
+            is_open = entry.target != "" and not entry.draining
+            self._agents[entry.node] = _Agent(member, is_open, 1)
             self._forget_views(None, member)
 
     def remove(self, node):
@@ -160,10 +177,29 @@
             if agent.heard_at is None or now - agent.heard_at > limit_s
         ]
 
-    def heard_at(self, node):
-        """Return when an agent has last reported, or None."""
-        agent = self._agents.get(node)
-        return None if agent is None else agent.heard_at
+    def is_settled(self, service, asked, now):
+        """Whether no agent of a service but those in ``asked`` can hold a flow.
+
+        Each of them must be known to live: one that is silent may have given its
+        answer in an earlier run.
+        """
+        if not self.complete:
+            return False
+        agents = [a for a in self._agents.values() if a.member.service == service]
+        return all(
+            a.member.node in asked
+            and a.heard_at is not None
+            and now - a.heard_at <= SETTLED_S
+            for a in agents
+        )
+
+    def _is_old(self, report, held):
+        if report.incarnation <= self._gone.get(report.node, -1):
+            return True
+        if held is None or held.heard_at is None:
+            return False
+        age = (report.incarnation, report.sequence)
+        return age <= (held.member.incarnation, held.sequence)
 
     def _forget_views(self, held, member):
         self._version += 1
--- a/src/ryesaddle/internal/target/belief.py
+++ b/src/ryesaddle/internal/target/belief.py
@@ -67,10 +67,21 @@
         return self.report.slots if self.report is not None else 1
 
     def restore(self, target, draining):
-        """Take what others knew of the target before this agent started."""
-        if self.report is None and target:
-            known = self._restored or ("", False)
-            self._restored = (target, draining or known == (target, True))
+        """Take what others knew of the target before this agent started.
+
+        Returns
+        -------
+        bool
+            Whether it is news.
+        """
+        if self.report is not None or not target:
+            return False
+        known = self._restored
+        # One who has not heard that it drains must not undo what another has.
+        if known is not None and (known[0] != target or known[1] >= draining):
+            return False
+        self._restored = (target, draining)
+        return True
 
     def is_open(self):
         """Whether the target may be given new flows, as far as it said itself."""
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -1,5 +1,6 @@
 """The flows that an agent has seen at its target, and the work they mean."""
 
+import math
 from collections import OrderedDict
 
 OPENING_S = 0.4  # twice the pause before a caller repeats its opening packet
@@ -7,13 +8,13 @@
 
 
 class _Record:
-    __slots__ = ("active_at", "at_work", "ending", "position")
+    __slots__ = ("active_at", "at_work", "confirmed", "payload")
 
     def __init__(self, now):
         self.active_at = now
         self.at_work = True
-        self.ending = False
-        self.position = 0
+        self.confirmed = False
+        self.payload = None
 
 
 class TargetFlows:
@@ -54,18 +55,19 @@
         if len(self._flows) > MAX_FLOWS:
             self._drop(next(iter(self._flows)))
 
-    def from_caller(self, packet, now):
-        """Note a packet passed to the target; return whether its flow is known."""
+    def from_caller(self, packet, payload, now):
+        """Note a packet passed to the target."""
         record = self._flows.get(packet.flow)
         if record is None:
-            return False
+            return
         self._touch(packet.flow, record, now)
-        record.position = packet.position
+        record.confirmed = True
         if packet.has_data:
             self._work(record, True)
+        if record.at_work:
+            record.payload = payload
         if packet.resets:
             self._drop(packet.flow)
-        return True
 
     def from_target(self, packet, now):
         """Note a packet of the target."""
@@ -94,21 +96,26 @@
             if record.at_work and quiet_s > self._limit(record):
                 self._work(record, False)
 
-    def clear(self):
-        """Forget all flows, as their target has ended; return them."""
-        gone = [(flow, record.position) for flow, record in self._flows.items()]
-        self._flows.clear()
-        self._at_work = 0
-        return gone
+    def waiting(self):
+        """Return the last packet of each flow whose caller waits for the target."""
+        return [r.payload for r in self._flows.values() if r.at_work and r.payload]
+
+    def quiet_s(self, now):
+        """Return the time since the last packet of any flow, in seconds."""
+        if not self._flows:
+            return math.inf
+        return now - self._flows[next(reversed(self._flows))].active_at
 
     def _limit(self, record):
-        return self._work_limit_s if record.position else OPENING_S
+        return self._work_limit_s if record.confirmed else OPENING_S
 
     def _touch(self, flow, record, now):
         record.active_at = now
         self._flows.move_to_end(flow)
 
     def _work(self, record, at_work):
+        if not at_work:
+            record.payload = None
         if record.at_work != at_work:
             record.at_work = at_work
             self._at_work += 1 if at_work else -1
--- a/src/ryesaddle/internal/wire/passing.py
+++ b/src/ryesaddle/internal/wire/passing.py
@@ -121,6 +121,8 @@
         Grows with each report of one run.
     wants_ack : bool
         Whether the balancer is to confirm that it knows the agent.
+    gone : bool
+        Whether the agent ends for good, since its target has ended.
     """
 
     node: str
@@ -135,6 +137,7 @@
     draining: bool
     sequence: int
     wants_ack: bool = False
+    gone: bool = False
 
 
 class ReportAck(msgspec.Struct, frozen=True, array_like=True, tag=5):
@@ -171,7 +174,7 @@
         Where it receives datagrams, and HTTP calls.
     version : int
         Its configuration; 0 if it has none.
-    store_age_ms : int
+    read_age_ms : int
         Time since it last read the configuration from the store, in milliseconds.
     agents : int
         Digest of the agents it knows.
@@ -185,7 +188,7 @@
     address: Address
     control: Address
     version: int
-    store_age_ms: int
+    read_age_ms: int
     agents: int = 0
     leaving: bool = False
 
--- a/src/ryesaddle/platform/objects.py
+++ b/src/ryesaddle/platform/objects.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ryesaddle.daemons.http import HttpError, call
+from ryesaddle.daemons.passing.http import HttpError, call
 from ryesaddle.errors import (
     ConflictError,
     GoneError,
--- a/src/ryesaddle/platform/role.py
+++ b/src/ryesaddle/platform/role.py
@@ -5,10 +5,8 @@
 
 import uvloop
 
-from ryesaddle.daemons.http import HttpReply
-from ryesaddle.daemons.passing_agent import log_unknown_call
-from ryesaddle.daemons.passing_node import run_passing_agent, run_passing_balancer
-from ryesaddle.daemons.passing_settings import (
+from ryesaddle.daemons.passing.http import HttpReply
+from ryesaddle.daemons.passing.settings import (
     PassingAgentSettings,
     PassingBalancerSettings,
     load_passing_settings,
@@ -19,6 +17,7 @@
 from ryesaddle.platform.objects import PlatformObjects
 from ryesaddle.platform.packet import PlatformPackets
 
+READY_PATH = "/ryesaddle/readyz"
 SETTINGS_VARIABLE = "RYESADDLE_SETTINGS"
 
 
@@ -33,24 +32,31 @@
         The socket for packets of callers (balancer) or for messages (agent).
     """
     path = os.environ[SETTINGS_VARIABLE]
+    # Each role imports its own parts only, since callers wait for a start.
     try:
         if role == "balancer":
+            from ryesaddle.daemons.passing.run_balancer import run_balancer
+
             settings = load_passing_settings(path, PassingBalancerSettings)
-            main = run_passing_balancer(
+            main = run_balancer(
                 settings,
                 early,
                 PlatformPackets(),
                 PlatformObjects(settings.store),
                 _read_configuration,
+                READY_PATH,
             )
         else:
+            from ryesaddle.daemons.passing.run_agent import run_agent
+
             settings = load_passing_settings(path, PassingAgentSettings)
-            main = run_passing_agent(
+            main = run_agent(
                 settings,
                 early,
                 PlatformPackets(),
                 PlatformObjects(settings.store),
                 _answer_target,
+                READY_PATH,
             )
     except SettingsError as exc:
         sys.exit(f"error: {exc}")
@@ -70,7 +76,7 @@
 def _answer_target(agent, req):
     found = read_path(req.path)
     if found is None or req.method != "POST":
-        return log_unknown_call(req)
+        return HttpReply(404)
     target, verb = found
     if verb != BEAT:
         return agent.goodbye(target)
--- a/src/ryesaddle/platform/start.py
+++ b/src/ryesaddle/platform/start.py
@@ -4,6 +4,7 @@
 that arrive meanwhile wait in it and are not lost.
 """
 
+import gc
 import socket
 import sys
 
@@ -19,6 +20,10 @@
 
 if __name__ == "__main__":
     early = bind(sys.argv[2])
+    # Nothing that an import allocates is garbage.
+    gc.disable()
     from ryesaddle.platform.role import run
 
+    gc.freeze()
+    gc.enable()
     run(sys.argv[1], early)
