--- a/src/ryesaddle/internal/log.py
+++ b/src/ryesaddle/internal/log.py
@@ -2,7 +2,7 @@
 
 import logging
 import os
-import sys
+import select
 from collections import deque
 
 import msgspec
@@ -10,6 +10,10 @@
 MAX_BUFFERED_BYTES = 262_144  # some 1,500 lines, a second of the busiest balancer
 MAX_LINES_PER_S = 2_000  # ten times what a balancer logs at its usual load
 FLUSH_S = 0.05  # a system call for many lines; what a crash may lose
+STDOUT = 1
+# A pipe that can be written to takes so many bytes at once without blocking
+# (PIPE_BUF, POSIX.1-2017, write()).
+CHUNK_BYTES = 4_096
 
 
 class KeyValueFormatter(logging.Formatter):
@@ -88,14 +92,13 @@
 
     def drain(self, write):
         """Give the lines to ``write``, which returns how many bytes it took."""
-        while self._lines:
-            data = b"".join(self._lines)
-            taken = write(data)
-            self._lines.clear()
-            self._bytes = len(data) - taken
-            if self._bytes:
-                self._lines.append(data[taken:])
-                return
+        data = b"".join(self._lines)
+        self._lines.clear()
+        while data and (taken := write(data)):
+            data = data[taken:]
+        self._bytes = len(data)
+        if data:
+            self._lines.append(data)
 
 
 class BufferedHandler(logging.Handler):
@@ -104,14 +107,14 @@
     Parameters
     ----------
     fd : int
-        File descriptor; it is set not to block.
+        File descriptor. It may be shared with other processes, so it is not set to
+        be non-blocking; it is written to only when that cannot block.
     lines : LineBuffer
         Holds lines until they are written.
     """
 
     def __init__(self, fd, lines):
         super().__init__()
-        os.set_blocking(fd, False)
         self._fd = fd
         self._loop = None
         self._flushing = False
@@ -140,9 +143,9 @@
 
     def _write(self, data):
         try:
-            return os.write(self._fd, data)
-        except BlockingIOError:
-            return 0
+            if not select.select((), (self._fd,), (), 0)[1]:
+                return 0
+            return os.write(self._fd, data[:CHUNK_BYTES])
         except OSError:
             # Nobody reads any more, and there is no other place to say so.
             return len(data)
@@ -162,7 +165,7 @@
 
     What is buffered when the process ends is flushed by the logging module.
     """
-    handler = BufferedHandler(sys.stdout.fileno(), LineBuffer())
+    handler = BufferedHandler(STDOUT, LineBuffer())
     handler.attach(loop)
     handler.setFormatter(KeyValueFormatter(node))
     root = logging.getLogger()
--- a/src/ryesaddle/internal/routing/packet.py
+++ b/src/ryesaddle/internal/routing/packet.py
@@ -23,6 +23,16 @@
     def __str__(self):
         return f"{self.caller}>{self.front}"
 
+    @property
+    def host(self):
+        """The caller's host, by which flows are ranked."""
+        return self.caller.host
+
+    @property
+    def port(self):
+        """The caller's port, by which flows are ranked."""
+        return self.caller.port
+
 
 @dataclass(frozen=True, slots=True)
 class Packet:
--- a/src/ryesaddle/internal/routing/rendezvous.py
+++ b/src/ryesaddle/internal/routing/rendezvous.py
@@ -13,10 +13,9 @@
     service : str
         Name of the service.
     caller : Address or Flow
-        Source address of the caller, or both ends where a caller may use one port
-        for several flows.
+        Source address of the caller, or the flow that it is in.
     """
-    return f"{service}|{caller}".encode()
+    return f"{service}|{caller.host}|{caller.port}".encode()
 
 
 def rank(key, members):
