Let new flows wait at the agent while its target is busy

Change: an agent lets in one flow more than its target has slots; the others wait at the agent, those that can be in time first. Work is counted from new data only, so that a repeated request does not hold a place for ten seconds. Tried: refusing by expected wait.

--- a/src/ryesaddle/daemons/passing/agent.py
+++ b/src/ryesaddle/daemons/passing/agent.py
@@ -9,7 +9,7 @@
 from ryesaddle.internal.log import event
 from ryesaddle.internal.membership.directory import TargetEntry
 from ryesaddle.internal.target.belief import Ignored, Taken
-from ryesaddle.internal.target.holder import Deliver, GiveBack, OfferTo
+from ryesaddle.internal.target.holder import Deliver, GiveBack, Hold, OfferTo, Reject
 from ryesaddle.internal.wire.passing import (
     Carry,
     Held,
@@ -23,6 +23,7 @@
 
 REPORT_S = 0.2  # a third of the time after which a balancer suspects an agent
 EXPIRE_S = 1.0
+SERVE_S = 0.02  # a fraction of a request; most are let in when an answer passes by
 ACK_REPORTS = 5  # one report in so many asks for a confirmation: one a second
 FORGET_BALANCER_S = 15.0  # longer than any outage that a balancer comes back from
 MAX_AWAITED = 1_024  # packets that may be returned; a return takes below 1 ms
@@ -58,7 +59,7 @@
         Distinguishes runs of the agent.
     packets : PacketProtocol
         Reads and builds packets.
-    belief, flows, holder : TargetBelief, TargetFlows, Holder
+    belief, flows, queue, holder : TargetBelief, TargetFlows, FlowQueue, Holder
         The decisions.
     messages : MessageSocket
         To balancers and other agents.
@@ -77,6 +78,7 @@
         packets,
         belief,
         flows,
+        queue,
         holder,
         messages,
         target,
@@ -88,6 +90,7 @@
         self._packets = packets
         self._belief = belief
         self._flows = flows
+        self._queue = queue
         self._holder = holder
         self._messages = messages
         self._target = target
@@ -138,7 +141,7 @@
             data_centre=self._settings.data_centre,
             address=self._settings.peer,
             open=self._holder.is_open(),
-            load=round(self._holder.load(), 3),
+            load=round(self._holder.load(self._now()), 3),
             slots=belief.slots,
             target=belief.target,
             draining=belief.draining,
@@ -250,12 +253,21 @@
         if packet is None:
             self._metrics.count("agent.malformed")
             return
-        self._perform(self._holder.decide(carry, packet), carry, packet)
+        decision = self._holder.decide(carry, packet, self._now())
+        self._perform(decision, carry, packet)
 
     def _perform(self, decision, carry, packet):
         match decision:
             case Deliver():
                 self._deliver(decision, carry, packet)
+            case Hold(reason=reason, moved=moved):
+                if reason == "busy":
+                    self._queue.put(packet.flow, carry, packet.copy, self._now())
+                    self._log_decision("hold", packet, reason, "")
+                if moved:
+                    self._tell_held(carry, packet.flow)
+            case Reject(reason=reason):
+                self._reset(packet, reason)
             case OfferTo(candidate=candidate, carry=onward, reason=reason):
                 self._messages.send(candidate.address, onward)
                 self._metrics.count(f"agent.passed.{reason}")
@@ -269,17 +281,43 @@
     def _deliver(self, decision, carry, packet):
         now = self._now()
         if packet.opens:
-            self._flows.opened(packet.flow, now)
+            self._flows.opened(packet.flow, now, carry.timeout_ms / 1000)
             self._log_decision("accept", packet, decision.reason, self._belief.target)
             if decision.moved:
-                caller, front = packet.flow
-                held = Held(self._settings.node, carry.service, caller, front)
-                self._messages.send(carry.balancer, held)
+                self._tell_held(carry, packet.flow)
         else:
             self._flows.from_caller(packet, carry.payload, now)
         self._to_target(carry.payload, carry)
         self._metrics.count("agent.delivered")
 
+    def _tell_held(self, carry, flow):
+        held = Held(self._settings.node, carry.service, flow.caller, flow.front)
+        self._messages.send(carry.balancer, held)
+
+    async def serve_waiting(self):
+        """Look after the flows that wait until cancelled."""
+        while True:
+            await asyncio.sleep(SERVE_S)
+            self._serve_waiting()
+
+    def _serve_waiting(self):
+        if not self._queue:
+            return
+        now = self._now()
+        for _, item in self._queue.give_up(self._flows.service_s, now):
+            packet = self._packets.read_caller(item.carry.payload)
+            self._reset(packet, "too-late")
+        while (found := self._holder.next(now)) is not None:
+            _, item = found
+            packet = self._packets.read_caller(item.carry.payload)
+            waited_ms = round((now - item.arrived_at) * 1000)
+            self._deliver(Deliver(f"waited-{waited_ms}-ms"), item.carry, packet)
+        if not self._holder.is_open():
+            for _, item in self._queue.clear():
+                packet = self._packets.read_caller(item.carry.payload)
+                decision = self._holder.decide(item.carry, packet, now)
+                self._perform(decision, item.carry, packet)
+
     def _to_target(self, payload, carry):
         self._token = (self._token + 1) & 0xFFFFFFFF or 1
         awaited = _Awaited(self._token, payload, carry)
@@ -299,6 +337,8 @@
         self._flows.from_target(packet, self._now())
         self._to_caller(data, packet.flow)
         self._metrics.count("agent.answered")
+        if self._queue and self._holder.has_room(self._now()):
+            self._serve_waiting()
 
     def _on_returned(self, packet):
         place = packet.token % MAX_AWAITED
@@ -333,7 +373,7 @@
             copy=packet.copy,
             reason=reason,
             to=to,
-            load=round(self._holder.load(), 2),
+            load=round(self._holder.load(self._now()), 2),
         )
 
     def _now(self):
--- a/src/ryesaddle/daemons/passing/run_agent.py
+++ b/src/ryesaddle/daemons/passing/run_agent.py
@@ -34,6 +34,7 @@
 from ryesaddle.internal.target.belief import TargetBelief
 from ryesaddle.internal.target.flows import TargetFlows
 from ryesaddle.internal.target.holder import Holder
+from ryesaddle.internal.target.queue import FlowQueue
 from ryesaddle.internal.wire.passing import Candidate
 
 log = logging.getLogger(__name__)
@@ -71,7 +72,8 @@
     belief = TargetBelief(settings.service, settings.heartbeat_ms / 1000)
     flows = TargetFlows()
     me = Candidate(settings.node, settings.peer)
-    holder = Holder(me, settings.service, belief, flows)
+    queue = FlowQueue()
+    holder = Holder(me, settings.service, belief, flows, queue)
     messages = MessageSocket(early, metrics)
     target = PacketSocket(lambda data, addr: agent.on_target_packet(data, addr))
     keeper = EntryKeeper(store, TARGETS, settings.node, rng)
@@ -81,6 +83,7 @@
         packets,
         belief,
         flows,
+        queue,
         holder,
         messages,
         target,
@@ -109,16 +112,22 @@
     await messages.listen()
     event(log, "started", node=settings.node, role="agent", target=belief.target)
     tasks.start(agent.run)
+    tasks.start(agent.serve_waiting)
     tasks.start(keeper.run)
     tasks.start(_complete, store, agent, keeper, settings, learning[0])
     await stop.wait()
-    event(log, "stopping", node=settings.node, at_work=flows.at_work)
+    event(log, "stopping", node=settings.node, flows=len(flows))
     holder.draining = True
     agent.report()
     await _drain(flows, belief, settings.stop_limit_s - STOP_MARGIN_S)
     tasks.close()
     agent.report(gone=not belief.target)
-    event(log, "stopped", node=settings.node, cut=flows.at_work)
+    event(
+        log,
+        "stopped",
+        node=settings.node,
+        cut=flows.at_work(asyncio.get_running_loop().time()),
+    )
 
 
 async def _learn_balancers(store, agent, settings):
@@ -174,6 +183,6 @@
     loop = asyncio.get_running_loop()
     end = loop.time() + limit_s
     while loop.time() < end and belief.target:
-        if not flows.at_work and flows.quiet_s(loop.time()) > QUIET_S:
+        if not flows.at_work(loop.time()) and flows.quiet_s(loop.time()) > QUIET_S:
             return
         await asyncio.sleep(POLL_S)
--- a/src/ryesaddle/internal/routing/dispatcher.py
+++ b/src/ryesaddle/internal/routing/dispatcher.py
@@ -74,15 +74,14 @@
         now : float
             Seconds on a monotonic clock.
         copy : int
-            How often the same opening datagram was sent before; each copy tries
-            another agent, since the ones before have not answered.
+            How often the same opening datagram was sent before.
         load : callable, optional
             Returns the load of a `Member`; without it, rank alone decides.
         """
         if view is None or not view.members:
             return Discard("no-members")
         owner = self._owner(service, caller, view)
-        if owner is not None and not (opens and (copy or self.is_suspect(owner, now))):
+        if owner is not None and not (opens and self.is_suspect(owner, now)):
             self._expect(owner, now)
             return Dispatch(owner, "cached")
         if opens and load is not None:
--- a/src/ryesaddle/internal/routing/packet.py
+++ b/src/ryesaddle/internal/routing/packet.py
@@ -59,7 +59,9 @@
     token : int
         What the sender of a returned packet had attached to it.
     position : int
-        Sequence number that the caller expects next.
+        Sequence number of the packet.
+    expects : int
+        Sequence number that its sender expects next.
     """
 
     flow: Flow
@@ -72,6 +74,7 @@
     returned: bool = False
     token: int = 0
     position: int = 0
+    expects: int = 0
 
 
 class PacketProtocol(Protocol):
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -3,37 +3,59 @@
 import math
 from collections import OrderedDict
 
-OPENING_S = 0.4  # twice the pause before a caller repeats its opening packet
+INITIAL_SERVICE_S = 0.05  # before anything is measured; requests take 5 to 40 ms
+INITIAL_OPENING_S = 0.01  # before anything is measured; callers are 3 ms away
+SMOOTHING = 0.1  # the last twenty requests make nine tenths of the average
+OPENINGS = 4  # a flow that takes so many times the usual to open is not coming
+MIN_OPENING_S = 0.03  # a few wake-ups of a slow host
+MAX_OPENING_S = 0.4  # twice the pause before a caller repeats its opening packet
+DEFAULT_WORK_S = 10.0  # bounds a flow of which only the middle was seen
 MAX_FLOWS = 20_000  # bounds memory; a target holds 2,000 connections
+HALF_OF_POSITIONS = 1 << 31  # serial number arithmetic, RFC 1982
 
 
 class _Record:
-    __slots__ = ("active_at", "at_work", "confirmed", "payload")
-
-    def __init__(self, now):
+    __slots__ = (
+        "active_at",
+        "at_work",
+        "confirmed",
+        "ended",
+        "payload",
+        "sent",
+        "work_s",
+        "worked_at",
+    )
+
+    def __init__(self, now, work_s):
         self.active_at = now
         self.at_work = True
         self.confirmed = False
+        self.ended = False
         self.payload = None
+        self.sent = None
+        self.work_s = work_s
+        self.worked_at = now
 
 
 class TargetFlows:
     """Counts the requests at a target from the packets that pass by.
 
-    A flow counts as work from its opening packet, or from data of the caller, to the
-    first data of the target. Lost packets make it miscount, so a flow that has been
-    quiet for some time no longer counts: the figure heals by itself.
+    A flow counts as work from its opening packet, or from new data of the caller,
+    to the first data of the target. Packets get lost, so each count has an end of
+    its own: the figure heals by itself.
 
-    Parameters
+    Attributes
     ----------
-    work_limit_s : float
-        A flow without packets for so long is not at work, in seconds.
+    service_s : float
+        Smoothed time from passing a request on to the first of its answer.
     """
 
-    def __init__(self, work_limit_s=10.0):
-        self._work_limit_s = work_limit_s
+    def __init__(self):
         self._flows = OrderedDict()
+        self._opening = OrderedDict()
         self._at_work = 0
+        self._opening_s = INITIAL_OPENING_S
+        self.service_s = INITIAL_SERVICE_S
 
     def __len__(self):
         return len(self._flows)
@@ -41,29 +63,52 @@
     def __contains__(self, flow):
         return flow in self._flows
 
-    @property
-    def at_work(self):
-        """Requests that the target seems to have."""
+    def at_work(self, now):
+        """Return how many requests the target seems to have."""
+        limit_s = self._opening_limit_s()
+        while self._opening:
+            flow, opened_at = next(iter(self._opening.items()))
+            if now - opened_at < limit_s:
+                break
+            del self._opening[flow]
+            self._work(self._flows[flow], False)
         return self._at_work
 
-    def opened(self, flow, now):
-        """Note that an opening packet was passed to the target."""
+    def opened(self, flow, now, work_s=DEFAULT_WORK_S):
+        """Note that an opening packet was passed to the target.
+
+        Parameters
+        ----------
+        flow : Flow
+            The flow.
+        now : float
+            Seconds on a monotonic clock.
+        work_s : float
+            Longest time for which a request of it counts, in seconds.
+        """
         if flow in self._flows:
             return
-        self._flows[flow] = _Record(now)
+        self._flows[flow] = _Record(now, work_s)
+        self._opening[flow] = now
         self._at_work += 1
         if len(self._flows) > MAX_FLOWS:
             self._drop(next(iter(self._flows)))
 
     def from_caller(self, packet, payload, now):
-        """Note a packet passed to the target."""
+        """Note a packet of an open flow that was passed to the target."""
         record = self._flows.get(packet.flow)
         if record is None:
             return
         self._touch(packet.flow, record, now)
+        opened_at = self._opening.pop(packet.flow, None)
+        if opened_at is not None:
+            self._opening_s += SMOOTHING * (now - opened_at - self._opening_s)
         record.confirmed = True
-        if packet.has_data:
-            self._work(record, True)
+        if packet.has_data and self._is_new(record, packet):
+            record.sent = packet.position
+            if not record.at_work and not record.ended:
+                self._work(record, True)
+                record.worked_at = now
         if record.at_work:
             record.payload = payload
         if packet.resets:
@@ -75,7 +120,11 @@
         if record is None:
             return
         self._touch(packet.flow, record, now)
-        if packet.has_data or packet.ends:
+        record.ended = record.ended or packet.ends
+        if (packet.has_data or packet.ends) and record.at_work:
+            taken_s = now - record.worked_at
+            self.service_s += SMOOTHING * (taken_s - self.service_s)
+            self._opening.pop(packet.flow, None)
             self._work(record, False)
         if packet.resets:
             self._drop(packet.flow)
@@ -92,8 +141,7 @@
                 break
             self._drop(flow)
         for record in self._flows.values():
-            quiet_s = now - record.active_at
-            if record.at_work and quiet_s > self._limit(record):
+            if record.at_work and now - record.worked_at > record.work_s:
                 self._work(record, False)
 
     def waiting(self):
@@ -106,8 +154,15 @@
             return math.inf
         return now - self._flows[next(reversed(self._flows))].active_at
 
-    def _limit(self, record):
-        return self._work_limit_s if record.confirmed else OPENING_S
+    def _opening_limit_s(self):
+        return min(MAX_OPENING_S, max(MIN_OPENING_S, OPENINGS * self._opening_s))
+
+    @staticmethod
+    def _is_new(record, packet):
+        if record.sent is None:
+            return True
+        ahead = (packet.position - record.sent) & 0xFFFFFFFF
+        return 0 < ahead < HALF_OF_POSITIONS
 
     def _touch(self, flow, record, now):
         record.active_at = now
@@ -121,6 +176,7 @@
             self._at_work += 1 if at_work else -1
 
     def _drop(self, flow):
+        self._opening.pop(flow, None)
         record = self._flows.pop(flow, None)
         if record is not None:
             self._work(record, False)
--- a/src/ryesaddle/internal/target/holder.py
+++ b/src/ryesaddle/internal/target/holder.py
@@ -32,6 +32,29 @@
     carry: Carry
 
 
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """Let the new flow wait here until the target has room.
+
+    Attributes
+    ----------
+    reason : str
+        For the decision log.
+    moved : bool
+        Whether the balancer expects the flow at another agent.
+    """
+
+    reason: str
+    moved: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Reject:
+    """Tell the caller at once that the flow cannot be served."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class GiveBack:
     """Return the packet to the balancer, which tries elsewhere."""
@@ -53,6 +76,8 @@
         What is known of the target.
     flows : TargetFlows
         The flows at the target.
+    queue : FlowQueue
+        The flows that wait.
 
     Attributes
     ----------
@@ -60,23 +85,32 @@
         Whether this agent is about to stop.
     """
 
-    def __init__(self, me, service, belief, flows):
+    def __init__(self, me, service, belief, flows, queue):
         self._me = me
         self._service = service
         self._belief = belief
         self._flows = flows
+        self._queue = queue
         self.draining = False
 
     def is_open(self):
         """Whether new flows are taken."""
         return not self.draining and self._belief.is_open()
 
-    def load(self):
-        """Return the requests at the target for each of its slots."""
-        return self._flows.at_work / self._belief.slots
+    def load(self, now):
+        """Return the requests at the target and waiting, for each of its slots."""
+        return (self._flows.at_work(now) + len(self._queue)) / self._belief.slots
 
-    def decide(self, carry, packet):
-        """Return `Deliver`, `OfferTo` or `GiveBack`.
+    def has_room(self, now):
+        """Whether the target can run one more request soon.
+
+        One more than it has slots, since a request arrives only a round trip
+        after its flow was let in.
+        """
+        return self._flows.at_work(now) <= self._belief.slots
+
+    def decide(self, carry, packet, now):
+        """Return `Deliver`, `Hold`, `OfferTo`, `GiveBack` or `Reject`.
 
         Parameters
         ----------
@@ -84,6 +118,8 @@
             The packet's envelope.
         packet : Packet
             The packet.
+        now : float
+            Seconds on a monotonic clock.
         """
         if carry.service != self._service:
             return self._give_back(carry, "other-service")
@@ -91,21 +127,36 @@
             return Deliver("held")
         if not packet.opens:
             return Deliver("asked")
+        if packet.flow in self._queue:
+            return Hold("waits")
         if not self.is_open():
             return self._hand_on(carry)
         if carry.settled:
-            return Deliver("least-loaded", moved=True)
+            return self._take(carry, packet, True, now)
         moved = carry.best is not None or bool(carry.asked)
-        if self.load() < 1:
+        if self.load(now) < 1:
             return Deliver("free", moved)
-        return self._offer(carry, moved)
+        return self._offer(carry, packet, moved, now)
 
     def returned(self, carry):
         """Return what to do with a packet that the target did not take."""
         return self._give_back(carry, "not-held")
 
-    def _offer(self, carry, moved):
-        best, best_load = self._me, self.load()
+    def next(self, now):
+        """Return the next flow for the target and its `Waiting`, or None."""
+        if not self.is_open() or not self.has_room(now):
+            return None
+        return self._queue.next(self._flows.service_s, now)
+
+    def _take(self, carry, packet, moved, now):
+        if self.has_room(now):
+            return Deliver("least-loaded", moved)
+        if self._queue.can_wait(carry, packet.copy, self._flows.service_s, now):
+            return Hold("busy", moved)
+        return Reject("too-late")
+
+    def _offer(self, carry, packet, moved, now):
+        best, best_load = self._me, self.load(now)
         if carry.best is not None and carry.best_load <= best_load:
             best, best_load = carry.best, carry.best_load
         if carry.candidates:
@@ -117,7 +168,7 @@
             )
             return OfferTo(carry.candidates[0], "offer", onward)
         if best.node == self._me.node:
-            return Deliver("least-loaded", moved)
+            return self._take(carry, packet, moved, now)
         onward = msgspec.structs.replace(carry, settled=True)
         return OfferTo(best, "declined", onward)
 
--- a/src/ryesaddle/platform/packet.py
+++ b/src/ryesaddle/platform/packet.py
@@ -33,7 +33,7 @@
         fields = _fields(data)
         if fields is None:
             return None
-        _, ack, echo, size, _, src, dst, dport, sport, flags, pad = fields
+        seq, ack, echo, size, _, src, dst, dport, sport, flags, pad = fields
         if echo or flags & _BOUNCED or pad != _NO_PAD:
             return None
         opens = flags & (_SYN | _ACK | _RST) == _SYN
@@ -44,7 +44,8 @@
             has_data=size > 0,
             ends=bool(flags & _FIN),
             resets=bool(flags & _RST),
-            position=ack,
+            position=seq,
+            expects=ack,
         )
 
     def read_target(self, data):
@@ -66,7 +67,7 @@
                 resets=resets,
                 returned=True,
                 token=echo,
-                position=ack,
+                expects=ack,
             )
         return Packet(
             flow=Flow(Address(inet_ntoa(dst), dport), Address(inet_ntoa(src), sport)),
@@ -99,7 +100,7 @@
         """Return the reset of the flow that ``packet`` of a caller belongs to."""
         caller, front = packet.flow
         return _HEADER.pack(
-            0 if packet.opens else packet.position,
+            0 if packet.opens else packet.expects,
             0,
             0,
             0,
