--- a/src/ryesaddle/daemons/passing/http.py
+++ b/src/ryesaddle/daemons/passing/http.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
 
 import httptools
+import msgspec
 
 from ryesaddle.internal.log import warn
 
@@ -38,8 +38,7 @@
         self.sent = sent
 
 
-@dataclass(frozen=True, slots=True)
-class HttpRequest:
+class HttpRequest(msgspec.Struct, frozen=True):
     """One request as a handler sees it."""
 
     method: str
@@ -47,8 +46,7 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class HttpReply:
+class HttpReply(msgspec.Struct, frozen=True):
     """One answer.
 
     Attributes
--- a/src/ryesaddle/internal/config/turn.py
+++ b/src/ryesaddle/internal/config/turn.py
@@ -1,6 +1,6 @@
 """Decides which balancers read the configuration from the store."""
 
-from dataclasses import dataclass
+import msgspec
 
 from ryesaddle.internal.routing.rendezvous import rank_names
 
@@ -8,8 +8,7 @@
 PEER_SILENT_S = 1.0  # four rounds of gossip
 
 
-@dataclass(slots=True)
-class _Peer:
+class _Peer(msgspec.Struct):
     heard_at: float
     store_age_s: float
 
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -1,7 +1,6 @@
 """What a balancer knows of the agents, from their reports and from the store."""
 
 from collections import OrderedDict
-from dataclasses import dataclass
 
 import msgspec
 import xxhash
@@ -38,8 +37,7 @@
     draining: bool = False
 
 
-@dataclass(slots=True)
-class _Agent:
+class _Agent(msgspec.Struct):
     member: Member
     open: bool
     slots: int
--- a/src/ryesaddle/internal/routing/dispatcher.py
+++ b/src/ryesaddle/internal/routing/dispatcher.py
@@ -1,7 +1,8 @@
 """The balancer's decision: to which agent a caller's datagram goes first."""
 
 from collections import OrderedDict
-from dataclasses import dataclass
+
+import msgspec
 
 from ryesaddle.internal.routing.member import Member
 from ryesaddle.internal.routing.rendezvous import flow_key, rank
@@ -12,8 +13,7 @@
 MAX_CANDIDATES = 3  # asking three closes nine tenths of the distance to one queue
 
 
-@dataclass(frozen=True, slots=True)
-class Dispatch:
+class Dispatch(msgspec.Struct, frozen=True):
     """Send the datagram to ``member``; ``reason`` goes to the decision log.
 
     Attributes
@@ -31,8 +31,7 @@
     others: tuple[Member, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Discard:
+class Discard(msgspec.Struct, frozen=True):
     """Drop the datagram; the caller's transport retries."""
 
     reason: str
--- a/src/ryesaddle/internal/routing/packet.py
+++ b/src/ryesaddle/internal/routing/packet.py
@@ -1,8 +1,9 @@
 """What the flow decisions need to know of a packet, whatever its protocol."""
 
-from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
+import msgspec
+
 from ryesaddle.internal.address import Address
 
 
@@ -34,8 +35,7 @@
         return self.caller.port
 
 
-@dataclass(frozen=True, slots=True)
-class Packet:
+class Packet(msgspec.Struct, frozen=True):
     """One packet between a caller and a target.
 
     Attributes
--- a/src/ryesaddle/internal/routing/view.py
+++ b/src/ryesaddle/internal/routing/view.py
@@ -1,14 +1,15 @@
 """What one process knows about the members of one service."""
 
-from dataclasses import dataclass, field
+from functools import cached_property
+
+import msgspec
 
 from ryesaddle.internal.routing.member import Member
 
 MAX_EJECTED_SHARE = 0.5
 
 
-@dataclass(frozen=True)
-class ServiceView:
+class ServiceView(msgspec.Struct, frozen=True, dict=True):
     """The agents of one service at one version of the shared state.
 
     Attributes
@@ -29,18 +30,20 @@
     version: int = 0
     members: tuple[Member, ...] = ()
     closed: frozenset = frozenset()
-    generations: dict = field(default_factory=dict)
-    by_node: dict = field(init=False, repr=False, compare=False)
-    _heeds_failing: bool = field(init=False, repr=False, compare=False)
+    generations: dict = {}
+
+    @cached_property
+    def by_node(self):
+        """The members by name."""
+        return {m.node: m for m in self.members}
 
-    def __post_init__(self):
-        object.__setattr__(self, "by_node", {m.node: m for m in self.members})
+    @cached_property
+    def _heeds_failing(self):
         staying = [m for m in self.members if self._may_serve(m)]
         failing = sum(m.failing for m in staying)
         # When many targets fail at once, the cause is rarely in the targets, and
         # leaving out all of them would help nobody.
-        heeds = failing <= MAX_EJECTED_SHARE * len(staying)
-        object.__setattr__(self, "_heeds_failing", heeds)
+        return failing <= MAX_EJECTED_SHARE * len(staying)
 
     def is_open(self, member):
         """Whether ``member`` may be given new flows."""
--- a/src/ryesaddle/internal/store/api.py
+++ b/src/ryesaddle/internal/store/api.py
@@ -1,13 +1,13 @@
 """The calls that every object API offers, whatever its protocol."""
 
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 from ryesaddle.internal.store.object import StoreObject
 
 
-@dataclass(frozen=True, slots=True)
-class Page:
+class Page(msgspec.Struct, frozen=True):
     """A part of a list.
 
     Attributes
--- a/src/ryesaddle/internal/store/pacing.py
+++ b/src/ryesaddle/internal/store/pacing.py
@@ -1,6 +1,6 @@
 """Limits and spaces the calls that one process makes to the object API."""
 
-from dataclasses import dataclass
+import msgspec
 
 
 class TokenBucket:
@@ -45,8 +45,7 @@
         self._at = now
 
 
-@dataclass(frozen=True)
-class Backoff:
+class Backoff(msgspec.Struct, frozen=True):
     """Exponential back-off with full jitter.
 
     Reference: Brooker, "Exponential Backoff and Jitter", 2015.
--- a/src/ryesaddle/internal/target/belief.py
+++ b/src/ryesaddle/internal/target/belief.py
@@ -1,15 +1,15 @@
 """What an agent believes of its target, from heartbeats that may come late."""
 
 from collections import OrderedDict
-from dataclasses import dataclass
+
+import msgspec
 
 from ryesaddle.internal.target.report import TargetReport
 
 MAX_ENDED = 64  # starts of targets at one address that a late heartbeat may be from
 
 
-@dataclass(frozen=True, slots=True)
-class Taken:
+class Taken(msgspec.Struct, frozen=True):
     """The heartbeat is news of the present target.
 
     Attributes
@@ -21,8 +21,7 @@
     change: str
 
 
-@dataclass(frozen=True, slots=True)
-class Ignored:
+class Ignored(msgspec.Struct, frozen=True):
     """The heartbeat says nothing of the present target; ``reason`` tells why."""
 
     reason: str
--- a/src/ryesaddle/internal/target/holder.py
+++ b/src/ryesaddle/internal/target/holder.py
@@ -1,14 +1,11 @@
 """The decision of an agent whose flows end at the target beside it."""
 
-from dataclasses import dataclass
-
 import msgspec
 
 from ryesaddle.internal.wire.passing import Candidate, Carry
 
 
-@dataclass(frozen=True, slots=True)
-class Deliver:
+class Deliver(msgspec.Struct, frozen=True):
     """Give the packet to the target.
 
     Attributes
@@ -23,8 +20,7 @@
     moved: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class OfferTo:
+class OfferTo(msgspec.Struct, frozen=True):
     """Send the new flow to another agent."""
 
     candidate: Candidate
@@ -32,8 +28,7 @@
     carry: Carry
 
 
-@dataclass(frozen=True, slots=True)
-class Hold:
+class Hold(msgspec.Struct, frozen=True):
     """Let the new flow wait here until the target has room.
 
     Attributes
@@ -48,15 +43,13 @@
     moved: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Reject:
+class Reject(msgspec.Struct, frozen=True):
     """Tell the caller at once that the flow cannot be served."""
 
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class GiveBack:
+class GiveBack(msgspec.Struct, frozen=True):
     """Return the packet to the balancer, which tries elsewhere."""
 
     reason: str
--- a/src/ryesaddle/internal/target/queue.py
+++ b/src/ryesaddle/internal/target/queue.py
@@ -1,7 +1,8 @@
 """New flows that wait at an agent until its target can run their requests."""
 
 from collections import OrderedDict
-from dataclasses import dataclass
+
+import msgspec
 
 from ryesaddle.internal.wire.passing import Carry
 
@@ -12,8 +13,7 @@
 MAX_WAITING = 512  # bounds memory; a target serves far fewer before callers give up
 
 
-@dataclass(frozen=True, slots=True)
-class Waiting:
+class Waiting(msgspec.Struct, frozen=True):
     """A new flow that waits.
 
     Attributes
--- a/src/ryesaddle/internal/target/report.py
+++ b/src/ryesaddle/internal/target/report.py
@@ -1,10 +1,9 @@
 """What a target says of itself in a heartbeat."""
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(frozen=True, slots=True)
-class TargetReport:
+class TargetReport(msgspec.Struct, frozen=True):
     """One heartbeat.
 
     Attributes
