Ask a peer when the store is slow at a start, close refusing targets, remove entries of the gone

Cause: a balancer that restarted during a store outage waited half a second for the store though its peers had told it all.

--- a/src/ryesaddle/daemons/passing/agent.py
+++ b/src/ryesaddle/daemons/passing/agent.py
@@ -100,6 +100,7 @@
         self._sequence = 0
         self._awaited = [None] * MAX_AWAITED
         self._token = 0
+        self._target_silent = False
         self.knows_target = asyncio.Event()
         messages.on(Carry, self._on_carry)
         messages.on(ReportAck, self._on_ack)
@@ -140,7 +141,7 @@
             service=self._settings.service,
             data_centre=self._settings.data_centre,
             address=self._settings.peer,
-            open=self._holder.is_open(),
+            open=self._holder.is_open(self._now()),
             load=round(self._holder.load(self._now()), 3),
             slots=belief.slots,
             target=belief.target,
@@ -168,6 +169,9 @@
         if hello.address not in self._balancers:
             event(log, "balancer-known", balancer=hello.node, address=hello.address)
         self._balancers[hello.address] = self._now()
+        if hello.register:
+            event(log, "register-again", balancer=hello.node)
+            self._register()
         self.report()
 
     # The target
@@ -198,6 +202,7 @@
                     reason=reason,
                 )
             case Taken(change=change):
+                self._flows.target_lives()
                 self._metrics.count("agent.heartbeat")
                 if change != "same":
                     self._on_target_change(change, report)
@@ -225,14 +230,19 @@
         self.report()
         if change == "started":
             self._verify_flows()
+        self._register()
+
+    def _register(self):
+        if not self._belief.target:
+            return
         self._keeper.want(
             TargetEntry(
                 node=self._settings.node,
                 service=self._settings.service,
                 data_centre=self._settings.data_centre,
                 address=self._settings.peer,
-                target=report.target,
-                draining=report.draining,
+                target=self._belief.target,
+                draining=self._belief.draining,
             )
         )
 
@@ -281,7 +291,7 @@
     def _deliver(self, decision, carry, packet):
         now = self._now()
         if packet.opens:
-            self._flows.opened(packet.flow, now, carry.timeout_ms / 1000)
+            self._flows.opened(packet.flow, now, carry, carry.timeout_ms / 1000)
             self._log_decision("accept", packet, decision.reason, self._belief.target)
             if decision.moved:
                 self._tell_held(carry, packet.flow)
@@ -298,8 +308,22 @@
         """Look after the flows that wait until cancelled."""
         while True:
             await asyncio.sleep(SERVE_S)
+            self._watch_target()
             self._serve_waiting()
 
+    def _watch_target(self):
+        """Place new flows elsewhere when the target has become silent."""
+        is_silent = self._holder.is_silent(self._now())
+        if is_silent == self._target_silent:
+            return
+        self._target_silent = is_silent
+        event(log, "target-silent" if is_silent else "target-answers")
+        self.report()
+        if is_silent:
+            for carry in self._flows.unanswered():
+                packet = self._packets.read_caller(carry.payload)
+                self._perform(self._holder.returned(carry), carry, packet)
+
     def _serve_waiting(self):
         if not self._queue:
             return
@@ -312,7 +336,7 @@
             packet = self._packets.read_caller(item.carry.payload)
             waited_ms = round((now - item.arrived_at) * 1000)
             self._deliver(Deliver(f"waited-{waited_ms}-ms"), item.carry, packet)
-        if not self._holder.is_open():
+        if not self._holder.is_open(now):
             for _, item in self._queue.clear():
                 packet = self._packets.read_caller(item.carry.payload)
                 decision = self._holder.decide(item.carry, packet, now)
@@ -334,7 +358,9 @@
         if packet.returned:
             self._on_returned(packet)
             return
-        self._flows.from_target(packet, self._now())
+        opened_s = self._flows.from_target(packet, self._now())
+        if opened_s is not None:
+            self._metrics.observe("agent.open", opened_s)
         self._to_caller(data, packet.flow)
         self._metrics.count("agent.answered")
         if self._queue and self._holder.has_room(self._now()):
@@ -352,6 +378,11 @@
             return
         self._awaited[place] = None
         self._flows.returned(sent.flow)
+        if sent.opens and self._holder.refused(self._now()):
+            event(log, "target-refuses", target=self._belief.target, flow=sent.flow)
+            self._metrics.count("agent.target_refused")
+            self.report()
+            self._verify_flows()
         if awaited.carry is None:
             self._reset(sent, "target-ended")
         else:
--- a/src/ryesaddle/daemons/passing/agents.py
+++ b/src/ryesaddle/daemons/passing/agents.py
@@ -56,7 +56,31 @@
         for entry in entries:
             if self._directory.find(entry.node) is None:
                 self._messages.send(entry.address, hello)
-        self._directory.list(entries)
+        self._directory.list(entries, self._now())
+
+    def live(self):
+        """Return the names of the agents that are heard."""
+        return self._directory.heard(self._now())
+
+    def forget(self):
+        """Forget agents that have been silent for long."""
+        for member in self._directory.forget_silent(self._now()):
+            event(
+                log,
+                "agent",
+                agent=member.node,
+                service=member.service,
+                target=member.target,
+                change="forgotten",
+            )
+
+    def ask_to_register(self, nodes):
+        """Ask agents with a target whose entries the store lacks to write them."""
+        hello = Hello(self._entry.node, self._entry.address, register=True)
+        for node in nodes:
+            member = self._directory.find(node)
+            if member is not None and member.target:
+                self._messages.send(member.address, hello)
 
     async def run(self):
         """Ask agents that owe a sign of life for a report, until cancelled."""
--- a/src/ryesaddle/daemons/passing/peers.py
+++ b/src/ryesaddle/daemons/passing/peers.py
@@ -15,6 +15,7 @@
 log = logging.getLogger(__name__)
 
 GOSSIP_S = 0.25  # four rounds within the second that counts a balancer as silent
+SILENT_S = 1.0  # four rounds of gossip
 FORGET_S = 15.0  # longer than any outage that a balancer comes back from
 FETCH_TIMEOUT_S = 1.0  # a neighbour answers in milliseconds
 STATE_PATH = "/state"
@@ -129,6 +130,15 @@
         state = SharedState(self._follower.routes, balancers, self._agents.entries())
         return HttpReply(200, msgspec.json.encode(state))
 
+    def live(self):
+        """Return the names of the balancers that are heard."""
+        now = self._now()
+        return [
+            entry.node
+            for address, entry in self._others.items()
+            if now - self._heard_at[address] <= SILENT_S
+        ]
+
     def _add(self, entry):
         event(log, "balancer-known", balancer=entry.node, address=entry.address)
         self._others[entry.address] = entry
--- a/src/ryesaddle/daemons/passing/run_agent.py
+++ b/src/ryesaddle/daemons/passing/run_agent.py
@@ -40,6 +40,7 @@
 log = logging.getLogger(__name__)
 
 LEARN_LIMIT_S = 0.5  # packets wait meanwhile; callers repeat after 0.2 and 0.6 s
+HEDGE_S = 0.05  # ten times the store's usual answer time
 LIST_AGAIN_S = 1.0  # half of the time for entries to be back after an outage
 QUIET_S = 0.15  # no packet for so long: no answer is on its way
 POLL_S = 0.05
@@ -63,7 +64,8 @@
     ready_path : str
         Where the platform asks whether this agent is ready.
     """
-    set_up_logging(settings.log_level, settings.node, asyncio.get_running_loop())
+    loop = asyncio.get_running_loop()
+    set_up_logging(settings.log_level, settings.node, loop)
     stop = stop_event()
     incarnation = time.time_ns()
     rng = random.Random(incarnation)
@@ -101,20 +103,22 @@
     await target.open(bind_udp(settings.outbound))
     for address in {settings.ready, settings.control}:
         await server.open(bind_tcp(address))
-    learning = [
-        asyncio.ensure_future(_learn_balancers(store, agent, settings)),
-        asyncio.ensure_future(_restore_target(store, agent, settings)),
-        asyncio.ensure_future(agent.knows_target.wait()),
-    ]
+    learning = asyncio.ensure_future(_learn_balancers(store, agent))
+    tasks.start(_ask_seeds, learning, agent, settings)
     await asyncio.wait(
-        learning, timeout=LEARN_LIMIT_S, return_when=asyncio.FIRST_COMPLETED
+        [
+            asyncio.ensure_future(_restore_target(store, agent, settings)),
+            asyncio.ensure_future(agent.knows_target.wait()),
+        ],
+        timeout=LEARN_LIMIT_S,
+        return_when=asyncio.FIRST_COMPLETED,
     )
     await messages.listen()
     event(log, "started", node=settings.node, role="agent", target=belief.target)
     tasks.start(agent.run)
     tasks.start(agent.serve_waiting)
     tasks.start(keeper.run)
-    tasks.start(_complete, store, agent, keeper, settings, learning[0])
+    tasks.start(_complete, store, agent, keeper, learning)
     await stop.wait()
     event(log, "stopping", node=settings.node, flows=len(flows))
     holder.draining = True
@@ -126,23 +130,26 @@
         log,
         "stopped",
         node=settings.node,
-        cut=flows.at_work(asyncio.get_running_loop().time()),
+        cut=flows.at_work(loop.time()),
     )
 
 
-async def _learn_balancers(store, agent, settings):
+async def _learn_balancers(store, agent):
     """Find the balancers; return whether the store told them."""
     try:
         entries = await list_entries(store, BALANCERS, BalancerEntry)
     except StoreError as exc:
         warn(log, "entries-not-listed", kind=BALANCERS, reason=exc)
-        await _ask_seeds(agent, settings)
         return False
     agent.know_balancers([entry.address for entry in entries.values()])
     return True
 
 
-async def _ask_seeds(agent, settings):
+async def _ask_seeds(learning, agent, settings):
+    """Ask balancers for others if the store does not answer soon."""
+    await asyncio.wait([learning], timeout=HEDGE_S)
+    if learning.done() and learning.result():
+        return
     for seed in settings.seeds:
         try:
             reply = await call(seed, "GET", STATE_PATH, timeout_s=FETCH_TIMEOUT_S)
@@ -167,12 +174,12 @@
         agent.restore(entry.target, entry.draining, "store")
 
 
-async def _complete(store, agent, keeper, settings, learning):
+async def _complete(store, agent, keeper, learning):
     """List once more if the own entry is new: who registers later has seen it."""
     learnt = await learning
     await keeper.settled.wait()
     while keeper.written or not learnt:
-        learnt = await _learn_balancers(store, agent, settings)
+        learnt = await _learn_balancers(store, agent)
         if learnt:
             return
         await asyncio.sleep(LIST_AGAIN_S)
--- a/src/ryesaddle/daemons/passing/run_balancer.py
+++ b/src/ryesaddle/daemons/passing/run_balancer.py
@@ -7,6 +7,7 @@
 
 from ryesaddle.daemons.passing.agents import Agents
 from ryesaddle.daemons.passing.balancer import PassingBalancer
+from ryesaddle.daemons.passing.cleaner import Cleaner
 from ryesaddle.daemons.passing.entry import EntryKeeper, list_entries
 from ryesaddle.daemons.passing.follower import RouteFollower
 from ryesaddle.daemons.passing.http import HttpReply, HttpServer
@@ -31,6 +32,8 @@
 log = logging.getLogger(__name__)
 
 LEARN_LIMIT_S = 0.5  # packets wait meanwhile; callers repeat after 0.2 and 0.6 s
+LEARN_POLL_S = 0.005
+HEDGE_S = 0.05  # ten times the store's usual answer time
 REROUTE_S = 1.5  # the fabric probes twice a second and allows two misses
 QUIET_S = 0.8  # a stopping balancer that received nothing for so long is not needed
 POLL_S = 0.1
@@ -55,7 +58,8 @@
     ready_path : str
         Where the platform asks whether this balancer is ready.
     """
-    set_up_logging(settings.log_level, settings.node, asyncio.get_running_loop())
+    loop = asyncio.get_running_loop()
+    set_up_logging(settings.log_level, settings.node, loop)
     stop = stop_event()
     incarnation = time.time_ns()
     rng = random.Random(incarnation)
@@ -93,13 +97,17 @@
         await server.open(bind_tcp(address))
     keeper.want(me)
     tasks.start(keeper.run)
-    learning = asyncio.ensure_future(_learn(store, follower, agents, peers, settings))
-    await asyncio.wait([learning], timeout=LEARN_LIMIT_S)
+    learning = asyncio.ensure_future(_learn(store, follower, agents, peers))
+    tasks.start(_ask_seeds, learning, peers, settings)
+    end = loop.time() + LEARN_LIMIT_S
+    while loop.time() < end and not (follower.routes and len(directory)):
+        await asyncio.sleep(LEARN_POLL_S)
     await callers.open(early)
     event(log, "started", node=settings.node, role="balancer", version=follower.version)
     tasks.start(follower.run)
     tasks.start(peers.run)
     tasks.start(agents.run)
+    tasks.start(Cleaner(settings.node, store, peers, agents).run)
     tasks.start(_complete, store, agents, peers, directory, keeper, learning)
     await stop.wait()
     event(log, "stopping", node=settings.node)
@@ -108,19 +116,24 @@
     event(log, "stopped", node=settings.node)
 
 
-async def _learn(store, follower, agents, peers, settings):
+async def _learn(store, follower, agents, peers):
     """Read what a start needs; return whether the store gave all of it."""
     read, *listed = await asyncio.gather(
         follower.read(),
         _learn_kind(store, TARGETS, TargetEntry, agents.know),
         _learn_kind(store, BALANCERS, BalancerEntry, peers.know),
     )
-    if read and all(listed):
-        return True
+    return read and all(listed)
+
+
+async def _ask_seeds(learning, peers, settings):
+    """Ask other balancers if the store does not answer soon."""
+    await asyncio.wait([learning], timeout=HEDGE_S)
+    if learning.done() and learning.result():
+        return
     for seed in settings.seeds:
         if seed != settings.control and await peers.fetch(seed):
-            break
-    return False
+            return
 
 
 async def _complete(store, agents, peers, directory, keeper, learning):
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -11,6 +11,7 @@
 from ryesaddle.internal.wire.passing import Report
 
 SETTLED_S = 1.0  # five reports
+FORGET_S = 30.0  # longer than an entry of a silent agent stays in the store
 MAX_GONE = 1_024  # agents that late entries may name; each is a name and a number
 
 
@@ -44,6 +45,7 @@
     load: float = 0.0
     sequence: int = 0
     sent: int = 0
+    known_at: float = 0.0
     heard_at: float | None = None
 
 
@@ -119,6 +121,7 @@
             report.slots,
             report.load,
             report.sequence,
+            known_at=now,
             heard_at=now,
         )
         self._agents[report.node] = agent
@@ -129,7 +132,7 @@
             return "appeared"
         return "open" if report.open else "closed"
 
-    def list(self, entries):
+    def list(self, entries, now):
         """Take entries of the store for agents that have not reported yet."""
         for entry in entries:
             if entry.node in self._agents or entry.node in self._gone:
@@ -145,7 +148,7 @@
                 draining=entry.draining,
             )
             is_open = entry.target != "" and not entry.draining
-            self._agents[entry.node] = _Agent(member, is_open, 1)
+            self._agents[entry.node] = _Agent(member, is_open, 1, known_at=now)
             self._forget_views(None, member)
 
     def remove(self, node):
@@ -167,13 +170,24 @@
             return 0.0
         return agent.load + agent.sent / agent.slots
 
-    def silent(self, now, limit_s):
-        """Return the agents that have not reported for ``limit_s`` seconds."""
-        return [
+    def heard(self, now):
+        """Return the names of the agents that have reported lately."""
+        return {
+            node
+            for node, agent in self._agents.items()
+            if agent.heard_at is not None and now - agent.heard_at <= SETTLED_S
+        }
+
+    def forget_silent(self, now):
+        """Forget and return the agents that have not reported for long."""
+        silent = [
             agent.member
             for agent in self._agents.values()
-            if agent.heard_at is None or now - agent.heard_at > limit_s
+            if now - agent.known_at > FORGET_S
         ]
+        for member in silent:
+            self.remove(member.node)
+        return silent
 
     def is_settled(self, service, asked, now):
         """Whether no agent of a service but those in ``asked`` can hold a flow.
--- a/src/ryesaddle/internal/metrics.py
+++ b/src/ryesaddle/internal/metrics.py
@@ -1,23 +1,55 @@
-"""Counters and gauges of one process."""
+"""Counters, gauges and latency histograms of one process."""
 
 import asyncio
+from bisect import bisect_left
 from collections import Counter
 
 FLUSH_S = 1.0
+# Upper bounds in seconds: from a datagram between processes to the longest request.
+BOUNDS_S = (
+    0.0005,
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+)
+
+
+class Histogram:
+    """Counts of durations by upper bound, as Prometheus defines histograms."""
+
+    def __init__(self):
+        self.counts = [0] * (len(BOUNDS_S) + 1)
+        self.sum_s = 0.0
+
+    def observe(self, seconds):
+        """Count one duration."""
+        self.counts[bisect_left(BOUNDS_S, seconds)] += 1
+        self.sum_s += seconds
 
 
 class Metrics:
-    """Collects counts in memory so that the hot path makes no system call.
+    """Collects figures in memory so that the hot path makes no system call.
 
     Parameters
     ----------
     sink : StatsdSink or None
-        Where to send what changed; None keeps the counts in memory only.
+        Where to send what changed; None keeps the figures in memory only.
     """
 
     def __init__(self, sink=None):
         self.counts = Counter()
         self.gauges = {}
+        self.histograms = {}
         self._sent = Counter()
         self._sink = sink
 
@@ -29,6 +61,13 @@
         """Set a gauge."""
         self.gauges[name] = value
 
+    def observe(self, name, seconds):
+        """Count a duration in a histogram."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = self.histograms[name] = Histogram()
+        histogram.observe(seconds)
+
     async def run(self):
         """Send what changed, once a second, until cancelled."""
         while True:
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -20,17 +20,19 @@
         "at_work",
         "confirmed",
         "ended",
+        "opening",
         "payload",
         "sent",
         "work_s",
         "worked_at",
     )
 
-    def __init__(self, now, work_s):
+    def __init__(self, now, opening, work_s):
         self.active_at = now
         self.at_work = True
         self.confirmed = False
         self.ended = False
+        self.opening = opening
         self.payload = None
         self.sent = None
         self.work_s = work_s
@@ -54,6 +56,7 @@
         self._flows = OrderedDict()
         self._opening = OrderedDict()
         self._at_work = 0
+        self._unanswered_at = None
         self._opening_s = INITIAL_OPENING_S
         self.service_s = INITIAL_SERVICE_S
 
@@ -74,7 +77,7 @@
             self._work(self._flows[flow], False)
         return self._at_work
 
-    def opened(self, flow, now, work_s=DEFAULT_WORK_S):
+    def opened(self, flow, now, opening=None, work_s=DEFAULT_WORK_S):
         """Note that an opening packet was passed to the target.
 
         Parameters
@@ -83,12 +86,16 @@
             The flow.
         now : float
             Seconds on a monotonic clock.
+        opening : Carry, optional
+            The packet, to be placed elsewhere if the target is silent.
         work_s : float
             Longest time for which a request of it counts, in seconds.
         """
+        if self._unanswered_at is None:
+            self._unanswered_at = now
         if flow in self._flows:
             return
-        self._flows[flow] = _Record(now, work_s)
+        self._flows[flow] = _Record(now, opening, work_s)
         self._opening[flow] = now
         self._at_work += 1
         if len(self._flows) > MAX_FLOWS:
@@ -115,11 +122,20 @@
             self._drop(packet.flow)
 
     def from_target(self, packet, now):
-        """Note a packet of the target."""
+        """Note a packet of the target; return the time that it took to open a flow.
+
+        Returns
+        -------
+        float or None
+            Seconds from the opening packet, if this is the first packet of a flow.
+        """
+        self._unanswered_at = None
         record = self._flows.get(packet.flow)
         if record is None:
-            return
+            return None
         self._touch(packet.flow, record, now)
+        is_first = record.opening is not None
+        record.opening = None
         record.ended = record.ended or packet.ends
         if (packet.has_data or packet.ends) and record.at_work:
             taken_s = now - record.worked_at
@@ -128,11 +144,29 @@
             self._work(record, False)
         if packet.resets:
             self._drop(packet.flow)
+        return now - record.worked_at if is_first else None
 
     def returned(self, flow):
         """Note that the target does not hold a flow."""
+        self._unanswered_at = None
         self._drop(flow)
 
+    def silent_s(self, now):
+        """Return for how long the target has left opening packets unanswered."""
+        return 0.0 if self._unanswered_at is None else now - self._unanswered_at
+
+    def target_lives(self):
+        """Note a sign of life other than a packet."""
+        self._unanswered_at = None
+
+    def unanswered(self):
+        """Take out the flows that the target has not answered; return their packets."""
+        flows = [f for f, r in self._flows.items() if r.opening is not None]
+        openings = [self._flows[flow].opening for flow in flows]
+        for flow in flows:
+            self._drop(flow)
+        return openings
+
     def expire(self, now, idle_s):
         """Forget flows that were idle for ``idle_s``, and count again."""
         while self._flows:
--- a/src/ryesaddle/internal/target/holder.py
+++ b/src/ryesaddle/internal/target/holder.py
@@ -4,6 +4,11 @@
 
 from ryesaddle.internal.wire.passing import Candidate, Carry
 
+# A target beside its agent answers an opening packet within a millisecond
+# (agent.open in the metrics of a run).
+SILENT_S = 0.1
+REFUSED_S = 0.25  # until a target that returned an opening packet is tried again
+
 
 class Deliver(msgspec.Struct, frozen=True):
     """Give the packet to the target.
@@ -84,11 +89,18 @@
         self._belief = belief
         self._flows = flows
         self._queue = queue
+        self._refused_until = 0.0
         self.draining = False
 
-    def is_open(self):
+    def is_open(self, now):
         """Whether new flows are taken."""
-        return not self.draining and self._belief.is_open()
+        if self.draining or not self._belief.is_open() or now < self._refused_until:
+            return False
+        return not self.is_silent(now)
+
+    def is_silent(self, now):
+        """Whether the target leaves opening packets unanswered."""
+        return self._flows.silent_s(now) > SILENT_S
 
     def load(self, now):
         """Return the requests at the target and waiting, for each of its slots."""
@@ -122,7 +134,7 @@
             return Deliver("asked")
         if packet.flow in self._queue:
             return Hold("waits")
-        if not self.is_open():
+        if not self.is_open(now):
             return self._hand_on(carry)
         if carry.settled:
             return self._take(carry, packet, True, now)
@@ -131,13 +143,25 @@
             return Deliver("free", moved)
         return self._offer(carry, packet, moved, now)
 
+    def refused(self, now):
+        """Note that the target returned an opening packet: it is full or has ended.
+
+        Returns
+        -------
+        bool
+            Whether it is news.
+        """
+        is_news = now >= self._refused_until
+        self._refused_until = now + REFUSED_S
+        return is_news
+
     def returned(self, carry):
         """Return what to do with a packet that the target did not take."""
         return self._give_back(carry, "not-held")
 
     def next(self, now):
         """Return the next flow for the target and its `Waiting`, or None."""
-        if not self.is_open() or not self.has_room(now):
+        if not self.is_open(now) or not self.has_room(now):
             return None
         return self._queue.next(self._flows.service_s, now)
 
--- a/src/ryesaddle/internal/wire/passing.py
+++ b/src/ryesaddle/internal/wire/passing.py
@@ -194,10 +194,21 @@
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=7):
-    """Asks an agent for a `Report`, now and from now on."""
+    """Asks an agent for a `Report`, now and from now on.
+
+    Attributes
+    ----------
+    node : str
+        The balancer.
+    address : Address
+        Where it receives messages.
+    register : bool
+        Whether the store lacks the agent's entry.
+    """
 
     node: str
     address: Address
+    register: bool = False
 
 
 PassingMessage = Carry | Return | Held | Report | ReportAck | Gossip | Hello
