--- a/src/ryesaddle/daemons/passing/agent.py
+++ b/src/ryesaddle/daemons/passing/agent.py
@@ -9,6 +9,7 @@
 from ryesaddle.internal.log import event
 from ryesaddle.internal.membership.directory import TargetEntry
 from ryesaddle.internal.target.belief import Ignored, Taken
+from ryesaddle.internal.target.flows import Opened, Served
 from ryesaddle.internal.target.holder import Deliver, GiveBack, Hold, OfferTo, Reject
 from ryesaddle.internal.wire.passing import (
     Carry,
@@ -334,8 +335,8 @@
         while (found := self._holder.next(now)) is not None:
             _, item = found
             packet = self._packets.read_caller(item.carry.payload)
-            waited_ms = round((now - item.arrived_at) * 1000)
-            self._deliver(Deliver(f"waited-{waited_ms}-ms"), item.carry, packet)
+            self._metrics.observe("agent.wait", now - item.arrived_at)
+            self._deliver(Deliver("waited"), item.carry, packet)
         if not self._holder.is_open(now):
             for _, item in self._queue.clear():
                 packet = self._packets.read_caller(item.carry.payload)
@@ -358,9 +359,11 @@
         if packet.returned:
             self._on_returned(packet)
             return
-        opened_s = self._flows.from_target(packet, self._now())
-        if opened_s is not None:
-            self._metrics.observe("agent.open", opened_s)
+        match self._flows.from_target(packet, self._now()):
+            case Opened(taken_s=taken_s):
+                self._metrics.observe("agent.open", taken_s)
+            case Served(taken_s=taken_s):
+                self._metrics.observe("agent.service", taken_s)
         self._to_caller(data, packet.flow)
         self._metrics.count("agent.answered")
         if self._queue and self._holder.has_room(self._now()):
--- a/src/ryesaddle/daemons/passing/http.py
+++ b/src/ryesaddle/daemons/passing/http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import deque
 
 import httptools
 import msgspec
@@ -65,12 +66,12 @@
 
 
 class HttpServer:
-    """Answers requests from handlers that do not wait.
+    """Answers requests.
 
     Parameters
     ----------
     handler : callable
-        Takes an `HttpRequest`, returns an `HttpReply`.
+        Takes an `HttpRequest`, returns an `HttpReply` or a future of one.
     """
 
     def __init__(self, handler):
@@ -102,6 +103,7 @@
         self._transport = None
         self._timer = None
         self._url, self._body, self._size = b"", [], 0
+        self._replies = deque()
 
     def close(self):
         if self._transport is not None:
@@ -123,7 +125,7 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
             warn(log, "http-malformed", reason=exc)
-            self._send(HttpReply(400))
+            self._transport.write(_encode(HttpReply(400)))
             self._transport.close()
 
     def on_message_begin(self):
@@ -139,7 +141,7 @@
 
     def on_message_complete(self):
         if self._size > MAX_BODY_BYTES:
-            self._send(HttpReply(413))
+            self._reply(HttpReply(413), True)
             return
         req = HttpRequest(
             self._parser.get_method().decode("ascii", "replace"),
@@ -152,18 +154,26 @@
             # A fault in one handler must not end the connection's other answers.
             log.exception("http-handler-failed")
             reply = HttpReply(503)
-        self._send(reply)
-        if not self._parser.should_keep_alive():
-            self._transport.close()
-
-    def _send(self, reply):
-        if not self._transport.is_closing():
-            head = (
-                f"HTTP/1.1 {reply.status} {REASONS.get(reply.status, 'Status')}\r\n"
-                f"Content-Type: {reply.content_type}\r\n"
-                f"Content-Length: {len(reply.body)}\r\n\r\n"
-            )
-            self._transport.write(head.encode() + reply.body)
+        self._reply(reply, not self._parser.should_keep_alive())
+
+    def _reply(self, reply, last):
+        self._replies.append((reply, last))
+        if isinstance(reply, asyncio.Future):
+            reply.add_done_callback(lambda done: self._send_ready())
+        self._send_ready()
+
+    def _send_ready(self):
+        """Send the replies that are ready, in the order of their requests."""
+        while self._replies and not self._transport.is_closing():
+            reply, last = self._replies[0]
+            if isinstance(reply, asyncio.Future):
+                if not reply.done():
+                    return
+                reply = _result(reply)
+            self._replies.popleft()
+            self._transport.write(_encode(reply))
+            if last:
+                self._transport.close()
 
     def _arm(self):
         if self._timer is not None:
@@ -172,6 +182,22 @@
         self._timer = loop.call_later(IDLE_S, self._transport.close)
 
 
+def _result(future):
+    if future.cancelled() or future.exception() is not None:
+        warn(log, "http-handler-failed", reason=future)
+        return HttpReply(503)
+    return future.result()
+
+
+def _encode(reply):
+    head = (
+        f"HTTP/1.1 {reply.status} {REASONS.get(reply.status, 'Status')}\r\n"
+        f"Content-Type: {reply.content_type}\r\n"
+        f"Content-Length: {len(reply.body)}\r\n\r\n"
+    )
+    return head.encode() + reply.body
+
+
 async def call(address, method, path, body=None, timeout_s=3.0):
     """Make one call on a connection of its own.
 
--- a/src/ryesaddle/daemons/passing/run_agent.py
+++ b/src/ryesaddle/daemons/passing/run_agent.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ryesaddle.daemons.passing.admin import Admin
 from ryesaddle.daemons.passing.agent import PassingAgent
 from ryesaddle.daemons.passing.entry import EntryKeeper, list_entries
 from ryesaddle.daemons.passing.http import HttpError, HttpReply, HttpServer, call
@@ -51,8 +52,8 @@
 
     Parameters
     ----------
-    settings : PassingAgentSettings
-        Settings of the process.
+    settings : LiveSettings
+        Settings of the process, of the kind `PassingAgentSettings`.
     early : socket.socket
         Bound to the address for messages.
     packets : PacketProtocol
@@ -70,7 +71,7 @@
     incarnation = time.time_ns()
     rng = random.Random(incarnation)
     metrics = Metrics()
-    store = StoreClient(api, rng)
+    store = StoreClient(api, rng, metrics=metrics)
     belief = TargetBelief(settings.service, settings.heartbeat_ms / 1000)
     flows = TargetFlows()
     me = Candidate(settings.node, settings.peer)
@@ -93,15 +94,32 @@
         metrics,
     )
 
+    def status():
+        return {
+            "node": settings.node,
+            "role": "agent",
+            "service": settings.service,
+            "target": belief.target,
+            "draining": belief.draining or holder.draining,
+            "open": holder.is_open(loop.time()),
+            "flows": len(flows),
+            "load": round(holder.load(loop.time()), 2),
+            "waiting": len(queue),
+            "service_s": round(flows.service_s, 4),
+            "store_calls": store.calls,
+        }
+
+    admin = Admin(metrics, status)
+
     def handle(req):
         if req.path == ready_path:
             return HttpReply(200)
-        return answer_target(agent, req)
+        return admin.answer(req) or answer_target(agent, req)
 
     server = HttpServer(handle)
     tasks = Supervisor()
     await target.open(bind_udp(settings.outbound))
-    for address in {settings.ready, settings.control}:
+    for address in {settings.ready, settings.control, settings.metrics}:
         await server.open(bind_tcp(address))
     learning = asyncio.ensure_future(_learn_balancers(store, agent))
     tasks.start(_ask_seeds, learning, agent, settings)
@@ -115,6 +133,7 @@
     )
     await messages.listen()
     event(log, "started", node=settings.node, role="agent", target=belief.target)
+    tasks.start(settings.run)
     tasks.start(agent.run)
     tasks.start(agent.serve_waiting)
     tasks.start(keeper.run)
--- a/src/ryesaddle/daemons/passing/run_balancer.py
+++ b/src/ryesaddle/daemons/passing/run_balancer.py
@@ -5,6 +5,7 @@
 import random
 import time
 
+from ryesaddle.daemons.passing.admin import Admin
 from ryesaddle.daemons.passing.agents import Agents
 from ryesaddle.daemons.passing.balancer import PassingBalancer
 from ryesaddle.daemons.passing.cleaner import Cleaner
@@ -45,8 +46,8 @@
 
     Parameters
     ----------
-    settings : PassingBalancerSettings
-        Settings of the process.
+    settings : LiveSettings
+        Settings of the process, of the kind `PassingBalancerSettings`.
     early : socket.socket
         Bound to the address for the packets of callers.
     packets : PacketProtocol
@@ -64,7 +65,7 @@
     incarnation = time.time_ns()
     rng = random.Random(incarnation)
     metrics = Metrics()
-    store = StoreClient(api, rng)
+    store = StoreClient(api, rng, metrics=metrics)
     directory, dispatcher = Directory(), Dispatcher()
     me = BalancerEntry(
         node=settings.node,
@@ -82,21 +83,37 @@
     )
     keeper = EntryKeeper(store, BALANCERS, settings.node, rng)
 
+    def status():
+        return {
+            "node": settings.node,
+            "role": "balancer",
+            "configuration": follower.version,
+            "store_read_age_s": round(follower.read_age_s(loop.time()), 1),
+            "flows": len(dispatcher),
+            "agents": len(directory),
+            "balancers": len(peers.live()) + 1,
+            "store_calls": store.calls,
+            "leaving": peers.leaving,
+        }
+
+    admin = Admin(metrics, status)
+
     def handle(req):
         if req.path == ready_path:
             is_ready = follower.routes is not None and not peers.leaving
             return HttpReply(200 if is_ready else 503)
         if req.path == STATE_PATH:
             return peers.state()
-        return HttpReply(404)
+        return admin.answer(req) or HttpReply(404)
 
     server = HttpServer(handle)
     tasks = Supervisor()
     await messages.listen()
-    for address in {settings.ready, settings.control}:
+    for address in {settings.ready, settings.control, settings.metrics}:
         await server.open(bind_tcp(address))
     keeper.want(me)
     tasks.start(keeper.run)
+    tasks.start(settings.run)
     learning = asyncio.ensure_future(_learn(store, follower, agents, peers))
     tasks.start(_ask_seeds, learning, peers, settings)
     end = loop.time() + LEARN_LIMIT_S
--- a/src/ryesaddle/daemons/passing/settings.py
+++ b/src/ryesaddle/daemons/passing/settings.py
@@ -18,6 +18,22 @@
     "outbound",
 )
 
+# Addresses and names that are in use as long as the process runs.
+FIXED = frozenset(
+    {
+        "node",
+        "data_centre",
+        "peer",
+        "control",
+        "ready",
+        "metrics",
+        "callers",
+        "target_address",
+        "outbound",
+        "service",
+    }
+)
+
 
 class PassingSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings that balancers and agents share.
--- a/src/ryesaddle/internal/store/client.py
+++ b/src/ryesaddle/internal/store/client.py
@@ -29,9 +29,12 @@
         Source of jitter.
     backoff : Backoff
         Pauses between attempts.
+    metrics : Metrics, optional
+        Where calls are counted and timed.
     """
 
-    def __init__(self, api, rng, backoff=Backoff()):  # noqa: B008
+    def __init__(self, api, rng, backoff=Backoff(), metrics=None):  # noqa: B008
+        self._metrics = metrics
         self._api = api
         self._rng = rng
         self._backoff = backoff
@@ -129,7 +132,7 @@
         for attempt in range(attempts):
             await self._pace()
             try:
-                return await read()
+                return await self._timed("read", read())
             except StoreUnavailableError as exc:
                 if attempt == attempts - 1:
                     raise
@@ -137,7 +140,20 @@
 
     async def _write_once(self, obj):
         await self._pace()
-        return await self._api.write(obj)
+        return await self._timed("write", self._api.write(obj))
+
+    async def _timed(self, kind, call):
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        outcome = "failed"
+        try:
+            result = await call
+            outcome = "answered"
+            return result
+        finally:
+            if self._metrics is not None:
+                self._metrics.observe(f"store.{kind}", loop.time() - started)
+                self._metrics.count(f"store.{kind}.{outcome}")
 
     async def _settle(self, obj):
         kind, name = obj.kind, obj.metadata.name
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -3,6 +3,8 @@
 import math
 from collections import OrderedDict
 
+import msgspec
+
 INITIAL_SERVICE_S = 0.05  # before anything is measured; requests take 5 to 40 ms
 INITIAL_OPENING_S = 0.01  # before anything is measured; callers are 3 ms away
 SMOOTHING = 0.1  # the last twenty requests make nine tenths of the average
@@ -14,6 +16,18 @@
 HALF_OF_POSITIONS = 1 << 31  # serial number arithmetic, RFC 1982
 
 
+class Opened(msgspec.Struct, frozen=True):
+    """The target has answered an opening packet, after so many seconds."""
+
+    taken_s: float
+
+
+class Served(msgspec.Struct, frozen=True):
+    """The target has begun to answer a request, after so many seconds."""
+
+    taken_s: float
+
+
 class _Record:
     __slots__ = (
         "active_at",
@@ -122,12 +136,12 @@
             self._drop(packet.flow)
 
     def from_target(self, packet, now):
-        """Note a packet of the target; return the time that it took to open a flow.
+        """Note a packet of the target.
 
         Returns
         -------
-        float or None
-            Seconds from the opening packet, if this is the first packet of a flow.
+        Opened, Served or None
+            What it completes.
         """
         self._unanswered_at = None
         record = self._flows.get(packet.flow)
@@ -137,14 +151,17 @@
         is_first = record.opening is not None
         record.opening = None
         record.ended = record.ended or packet.ends
-        if (packet.has_data or packet.ends) and record.at_work:
-            taken_s = now - record.worked_at
+        taken_s = now - record.worked_at
+        is_served = (packet.has_data or packet.ends) and record.at_work
+        if is_served:
             self.service_s += SMOOTHING * (taken_s - self.service_s)
             self._opening.pop(packet.flow, None)
             self._work(record, False)
         if packet.resets:
             self._drop(packet.flow)
-        return now - record.worked_at if is_first else None
+        if is_served:
+            return Served(taken_s)
+        return Opened(taken_s) if is_first else None
 
     def returned(self, flow):
         """Note that the target does not hold a flow."""
--- a/src/ryesaddle/platform/objects.py
+++ b/src/ryesaddle/platform/objects.py
@@ -56,8 +56,8 @@
 
     Parameters
     ----------
-    address : Address
-        Where the store listens.
+    address : callable
+        Returns the `Address` where the store listens now.
     """
 
     def __init__(self, address):
@@ -135,7 +135,9 @@
 
     async def _read(self, path, timeout_s=CALL_TIMEOUT_S):
         try:
-            reply = await call(self._address, "GET", PREFIX + path, timeout_s=timeout_s)
+            reply = await call(
+                self._address(), "GET", PREFIX + path, timeout_s=timeout_s
+            )
         except HttpError as exc:
             raise StoreUnavailableError(
                 f"Store did not answer ({exc}); retry later."
@@ -148,7 +150,7 @@
     async def _write(self, method, path, body, gone_is_good=False):
         try:
             reply = await call(
-                self._address, method, PREFIX + path, body, CALL_TIMEOUT_S
+                self._address(), method, PREFIX + path, body, CALL_TIMEOUT_S
             )
         except HttpError as exc:
             if exc.sent:
--- a/src/ryesaddle/platform/role.py
+++ b/src/ryesaddle/platform/role.py
@@ -6,10 +6,10 @@
 import uvloop
 
 from ryesaddle.daemons.passing.http import HttpReply
+from ryesaddle.daemons.passing.live import LiveSettings
 from ryesaddle.daemons.passing.settings import (
     PassingAgentSettings,
     PassingBalancerSettings,
-    load_passing_settings,
 )
 from ryesaddle.errors import SettingsError, StoreUnavailableError
 from ryesaddle.platform.configuration import KIND, NAME, read_routes
@@ -37,24 +37,24 @@
         if role == "balancer":
             from ryesaddle.daemons.passing.run_balancer import run_balancer
 
-            settings = load_passing_settings(path, PassingBalancerSettings)
+            settings = LiveSettings(path, PassingBalancerSettings)
             main = run_balancer(
                 settings,
                 early,
                 PlatformPackets(),
-                PlatformObjects(settings.store),
+                PlatformObjects(lambda: settings.store),
                 _read_configuration,
                 READY_PATH,
             )
         else:
             from ryesaddle.daemons.passing.run_agent import run_agent
 
-            settings = load_passing_settings(path, PassingAgentSettings)
+            settings = LiveSettings(path, PassingAgentSettings)
             main = run_agent(
                 settings,
                 early,
                 PlatformPackets(),
-                PlatformObjects(settings.store),
+                PlatformObjects(lambda: settings.store),
                 _answer_target,
                 READY_PATH,
             )
