Wait with new flows until the balancers know a new agent, and prove the passing core

Cause: a balancer that has not heard of a new agent took its flows for held nowhere and would have reset them (found by the state machine that goes with this commit).

--- a/src/ryesaddle/daemons/passing/agent.py
+++ b/src/ryesaddle/daemons/passing/agent.py
@@ -8,6 +8,7 @@
 from ryesaddle.daemons.passing.http import HttpReply
 from ryesaddle.internal.log import event
 from ryesaddle.internal.membership.directory import TargetEntry
+from ryesaddle.internal.membership.introduction import Introduction
 from ryesaddle.internal.target.belief import Ignored, Taken
 from ryesaddle.internal.target.flows import Opened, Served
 from ryesaddle.internal.target.holder import Deliver, GiveBack, Hold, OfferTo, Reject
@@ -97,6 +98,7 @@
         self._target = target
         self._keeper = keeper
         self._metrics = metrics
+        self._introduction = Introduction(self._now())
         self._balancers = {}
         self._sequence = 0
         self._awaited = [None] * MAX_AWAITED
@@ -136,6 +138,7 @@
         """
         self._sequence += 1
         belief = self._belief
+        self._introduce()
         report = Report(
             node=self._settings.node,
             incarnation=self._incarnation,
@@ -148,12 +151,22 @@
             target=belief.target,
             draining=belief.draining,
             sequence=self._sequence,
-            wants_ack=self._sequence % ACK_REPORTS == 1,
+            wants_ack=(
+                not self._holder.introduced or self._sequence % ACK_REPORTS == 1
+            ),
             gone=gone,
         )
         for address in self._balancers:
             self._messages.send(address, report)
 
+    def _introduce(self):
+        """Return whether the balancers know this agent."""
+        done = self._introduction.is_done(self._balancers, self._now())
+        if done and not self._holder.introduced:
+            event(log, "introduced", balancers=len(self._balancers))
+        self._holder.introduced = done
+        return done
+
     def _expire(self, now):
         self._flows.expire(now, self._settings.flow_max_s)
         gone = [a for a, at in self._balancers.items() if now - at > FORGET_BALANCER_S]
@@ -164,6 +177,9 @@
     def _on_ack(self, ack, addr):
         self._balancers[addr] = self._now()
         if ack.incarnation == self._incarnation:
+            self._introduction.confirmed(addr)
+            if not self._holder.introduced and self._introduce():
+                self.report()
             self.restore(ack.target, ack.draining, f"balancer {ack.node}")
 
     def _on_hello(self, hello, addr):
@@ -177,6 +193,10 @@
 
     # The target
 
+    def registered_before(self):
+        """Note that the store held this agent's entry before this run."""
+        self._introduction.registered_before()
+
     def restore(self, target, draining, source):
         """Take what others knew of the target before this process started."""
         if self._belief.restore(target, draining):
--- a/src/ryesaddle/daemons/passing/balancer.py
+++ b/src/ryesaddle/daemons/passing/balancer.py
@@ -153,7 +153,7 @@
             self._send(found, carry, packet)
         elif packet.opens:
             self._drop(packet, "no-open-member")
-        elif self._directory.is_settled(carry.service, carry.asked, now):
+        elif self._directory.is_settled(carry.service, carry.asked):
             self._reset(packet, "held-nowhere")
         else:
             self._drop(packet, "holder-unknown")
--- a/src/ryesaddle/daemons/passing/run_agent.py
+++ b/src/ryesaddle/daemons/passing/run_agent.py
@@ -77,6 +77,7 @@
     me = Candidate(settings.node, settings.peer)
     queue = FlowQueue()
     holder = Holder(me, settings.service, belief, flows, queue)
+    holder.introduced = False
     messages = MessageSocket(early, metrics)
     target = PacketSocket(lambda data, addr: agent.on_target_packet(data, addr))
     keeper = EntryKeeper(store, TARGETS, settings.node, rng)
@@ -189,7 +190,8 @@
     except (StoreError, msgspec.ValidationError) as exc:
         warn(log, "entry-not-read", kind=TARGETS, reason=exc)
         return
-    if entry.service == settings.service:
+    if entry.service == settings.service and entry.address == settings.peer:
+        agent.registered_before()
         agent.restore(entry.target, entry.draining, "store")
 
 
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -10,7 +10,7 @@
 from ryesaddle.internal.routing.view import ServiceView
 from ryesaddle.internal.wire.passing import Report
 
-SETTLED_S = 1.0  # five reports
+HEARD_S = 1.0  # five reports
 FORGET_S = 30.0  # longer than an entry of a silent agent stays in the store
 MAX_GONE = 1_024  # agents that late entries may name; each is a name and a number
 
@@ -175,7 +175,7 @@
         return {
             node
             for node, agent in self._agents.items()
-            if agent.heard_at is not None and now - agent.heard_at <= SETTLED_S
+            if agent.heard_at is not None and now - agent.heard_at <= HEARD_S
         }
 
     def forget_silent(self, now):
@@ -189,21 +189,11 @@
             self.remove(member.node)
         return silent
 
-    def is_settled(self, service, asked, now):
-        """Whether no agent of a service but those in ``asked`` can hold a flow.
-
-        Each of them must be known to live: one that is silent may have given its
-        answer in an earlier run.
-        """
-        if not self.complete:
-            return False
-        agents = [a for a in self._agents.values() if a.member.service == service]
-        return all(
-            a.member.node in asked
-            and a.heard_at is not None
-            and now - a.heard_at <= SETTLED_S
-            for a in agents
-        )
+    def is_settled(self, service, asked):
+        """Whether no agent of a service but those in ``asked`` can hold a flow."""
+        view = self.view(service)
+        members = view.members if view is not None else ()
+        return self.complete and all(m.node in asked for m in members)
 
     def _is_old(self, report, held):
         if report.incarnation <= self._gone.get(report.node, -1):
--- a/src/ryesaddle/internal/target/belief.py
+++ b/src/ryesaddle/internal/target/belief.py
@@ -99,21 +99,22 @@
         if report.service != self._service:
             return Ignored("other-service")
         held = self.report
-        if held is None:
-            return self._start(report, now)
-        if report.target == held.target:
+        if held is not None and report.target == held.target:
             return self._hear_again(held, report, now)
-        if report.target in self._ended:
+        if self._has_ended(report):
             return Ignored("ended-before")
+        if held is None:
+            return self._start(report, now)
         if self._is_older(report, held):
             return Ignored("started-before")
         return self._start(report, now)
 
     def leave(self, target):
         """Note that a target has said goodbye; return whether it is the present one."""
-        self._end(target)
         if self.target != target:
+            self._end(target, None)
             return False
+        self._end(target, self.report.started_at if self.report else None)
         self.report, self._restored, self.heard_at = None, None, None
         return True
 
@@ -137,13 +138,21 @@
 
     def _start(self, report, now):
         if self.report is not None and self.report.target != report.target:
-            self._end(self.report.target)
+            self._end(self.report.target, self.report.started_at)
         self._restored = None
         self.report, self.heard_at = report, now
         return Taken("started")
 
-    def _end(self, target):
-        self._ended[target] = None
+    def _has_ended(self, report):
+        if report.target not in self._ended:
+            return False
+        ended = self._ended[report.target]
+        if report.started_at is None or ended is None:
+            return True
+        return report.started_at <= ended
+
+    def _end(self, target, started_at):
+        self._ended[target] = started_at
         if len(self._ended) > MAX_ENDED:
             self._ended.popitem(last=False)
 
--- a/src/ryesaddle/internal/target/holder.py
+++ b/src/ryesaddle/internal/target/holder.py
@@ -81,6 +81,8 @@
     ----------
     draining : bool
         Whether this agent is about to stop.
+    introduced : bool
+        Whether the balancers know this agent.
     """
 
     def __init__(self, me, service, belief, flows, queue):
@@ -91,10 +93,13 @@
         self._queue = queue
         self._refused_until = 0.0
         self.draining = False
+        self.introduced = True
 
     def is_open(self, now):
         """Whether new flows are taken."""
-        if self.draining or not self._belief.is_open() or now < self._refused_until:
+        if self.draining or not self.introduced or now < self._refused_until:
+            return False
+        if not self._belief.is_open():
             return False
         return not self.is_silent(now)
 
--- a/src/ryesaddle/platform/start.py
+++ b/src/ryesaddle/platform/start.py
@@ -5,6 +5,7 @@
 """
 
 import gc
+import signal
 import socket
 import sys
 
@@ -19,6 +20,8 @@
 
 
 if __name__ == "__main__":
+    # The file is read at the start in any case; the signal's default would end it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     early = bind(sys.argv[2])
     # Nothing that an import allocates is garbage.
     gc.disable()
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,91 @@
+import unittest
+
+from hypothesis import given, strategies as st
+
+from ryesaddle.internal.address import Address
+from ryesaddle.internal.routing.packet import Flow
+from ryesaddle.platform.configuration import read_routes
+
+ROUTE = {
+    "name": "r-1",
+    "host": "198.18.0.1",
+    "pathPrefix": "/8080/",
+    "type": "non_idempotent",
+    "timeoutMs": 1500,
+    "targetLatencyMs": 180,
+    "priority": 1,
+    "service": "huvo11a",
+    "maxAttempts": 2,
+}
+FRONT = Address("198.18.0.1", 8080)
+FLOW = Flow(Address("100.64.0.7", 40001), FRONT)
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from([*ROUTE, "backends", "weight"]), inner)
+    ),
+    max_leaves=8,
+)
+
+
+def config(*routes, version=7, **more):
+    return {"version": version, "routes": list(routes), **more}
+
+
+class ReadRoutesTest(unittest.TestCase):
+    def test_a_prefix_names_the_port(self):
+        table, problems = read_routes(config(ROUTE, limits={"idleTimeoutMs": 12_000}))
+        route = table.find(FRONT)
+        self.assertEqual(problems, [])
+        self.assertEqual((table.version, table.idle_s), (7, 12.0))
+        self.assertEqual(route.services(FLOW), ("huvo11a",))
+        self.assertEqual((route.timeout_s, route.objective_s), (1.5, 0.18))
+        self.assertEqual((route.priority, route.repeatable), (1, False))
+        self.assertIsNone(table.find(Address("198.18.0.1", 8081)))
+
+    def test_shares_divide_the_flows_of_a_route(self):
+        parts = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+        route = {**ROUTE, "service": None, "backends": parts}
+        table, _ = read_routes(config(route))
+        chosen = [
+            table.find(FRONT).services(Flow(Address("100.64.0.7", port), FRONT))
+            for port in range(10_000, 12_000)
+        ]
+        share = sum(first == "b" for first, _ in chosen) / len(chosen)
+        self.assertAlmostEqual(share, 0.1, delta=0.03)
+        self.assertEqual({frozenset(names) for names in chosen}, {frozenset("ab")})
+
+    def test_a_malformed_route_is_left_out_and_named(self):
+        broken = [
+            {**ROUTE, "pathPrefix": "/x/"},
+            {**ROUTE, "pathPrefix": "/70000/"},
+            {**ROUTE, "host": 5},
+            {k: v for k, v in ROUTE.items() if k != "service"},
+            "text",
+        ]
+        table, problems = read_routes(config(*broken, ROUTE))
+        self.assertEqual(len(problems), len(broken))
+        self.assertEqual([front for front, _ in table.routes], [FRONT])
+
+    def test_an_object_without_version_or_routes_is_no_configuration(self):
+        for spec in (
+            {},
+            {"version": 1},
+            {"version": "1", "routes": []},
+            {"routes": []},
+        ):
+            self.assertIsNone(read_routes(spec)[0])
+
+    @given(
+        st.dictionaries(st.sampled_from(["version", "routes", "limits"]), json_values)
+    )
+    def test_any_object_is_read_or_refused(self, spec):
+        table, _ = read_routes(spec)
+        if table is not None:
+            self.assertIsInstance(table.version, int)
+
+    @given(st.lists(st.dictionaries(st.sampled_from(list(ROUTE)), json_values)))
+    def test_odd_routes_do_not_hide_a_good_one(self, odd):
+        table, _ = read_routes(config(*odd, ROUTE))
+        self.assertEqual(table.find(FRONT).name, "r-1")
--- /dev/null
+++ b/tests/platform/test_heartbeat.py
@@ -0,0 +1,55 @@
+import json
+import unittest
+
+from hypothesis import given, strategies as st
+
+from ryesaddle.platform.heartbeat import read_heartbeat, read_path
+
+BEAT = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "bkk-a",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmupLeftMs": 1500,
+    "seq": 4,
+}
+
+
+class HeartbeatTest(unittest.TestCase):
+    def read(self, **changes):
+        return read_heartbeat("i-1", json.dumps({**BEAT, **changes}).encode())
+
+    def test_a_heartbeat_becomes_a_report(self):
+        report = self.read(born=1_700_000_000_000)
+        self.assertEqual((report.target, report.service), ("i-1", "huvo11a"))
+        self.assertEqual((report.sequence, report.slots), (4, 2))
+        self.assertEqual((report.warm_up_s, report.draining), (1.5, False))
+        self.assertEqual(report.started_at, 1_700_000_000_000)
+        self.assertTrue(self.read(state="draining").draining)
+
+    def test_missing_or_mistyped_fields_name_no_target(self):
+        for name in ("service", "state", "seq"):
+            body = {key: value for key, value in BEAT.items() if key != name}
+            self.assertIsNone(read_heartbeat("i-1", json.dumps(body).encode()))
+        for changes in ({"state": "asleep"}, {"seq": "4"}, {"slots": 0}, {"born": "x"}):
+            self.assertIsNone(self.read(**changes))
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_read_or_refused(self, body):
+        read_heartbeat("i-1", body)
+
+    def test_paths_name_the_target_and_the_call(self):
+        self.assertEqual(
+            read_path("/ryesaddle/instances/i-7f/heartbeat"), ("i-7f", "heartbeat")
+        )
+        self.assertEqual(
+            read_path("/ryesaddle/instances/i-7f/deregister"), ("i-7f", "deregister")
+        )
+        for path in (
+            "/",
+            "/ryesaddle/instances//heartbeat",
+            "/ryesaddle/instances/a/b",
+        ):
+            self.assertIsNone(read_path(path))
--- /dev/null
+++ b/tests/routing/test_passing.py
@@ -0,0 +1,361 @@
+"""Flows through balancers that know little, held by targets alone."""
+
+import unittest
+from unittest import mock
+
+from hypothesis import Phase, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from ryesaddle.internal.address import Address
+from ryesaddle.internal.membership.directory import Directory
+from ryesaddle.internal.membership.introduction import LIMIT_S, Introduction
+from ryesaddle.internal.routing.packet import Flow
+from ryesaddle.internal.target.belief import TargetBelief
+from tests.support.packets import returned
+from tests.support.passing import (
+    FRONT,
+    OTHER_FRONT,
+    OTHER_SERVICE,
+    SERVICE,
+    SYN,
+    Target,
+    World,
+)
+
+BALANCERS = (1, 2)
+AGENTS = (1, 2, 3, 4)
+STEPS = settings(max_examples=250, stateful_step_count=40)
+MUTANT_STEPS = settings(
+    max_examples=10_000, stateful_step_count=40, phases=[Phase.generate]
+)
+balancers = st.sampled_from(BALANCERS)
+agents = st.sampled_from(AGENTS)
+
+
+def caller(number):
+    return Address("100.64.0.7", 10_000 + number)
+
+
+def started(*numbers, service=SERVICE):
+    """Return a world with these agents and their targets, all known."""
+    world = World()
+    for number in BALANCERS:
+        world.start_balancer(number)
+    for number in numbers:
+        world.start_agent(number, service, Target(f"i-{number}", service))
+        world.heartbeat(number)
+    world.now += 2.0
+    for number in numbers:
+        world.report(number)
+    return world
+
+
+class PassingMachine(RuleBasedStateMachine):
+    """Planned changes of balancers, agents and targets, several at once."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = started(1, 2)
+        self.flows = 0
+        self.targets = 10
+        self.open = {}
+
+    @rule(balancer=balancers, copy=st.integers(0, 2))
+    def open_flow(self, balancer, copy):
+        self.flows += 1
+        address = caller(self.flows)
+        self.world.send(balancer, address, SYN, copy=copy)
+        flow = Flow(address, FRONT)
+        target = self.world.holder_of(flow)
+        if target is not None:
+            self.open[flow] = target
+
+    @precondition(lambda self: self.open)
+    @rule(balancer=balancers, index=st.integers(0, 30))
+    def send_on_open_flow(self, balancer, index):
+        flow = list(self.open)[index % len(self.open)]
+        answers, resets = self.world.send(balancer, flow.caller)
+        assert not resets, f"{flow} was reset though its target holds it"
+        if not self.is_dark():
+            assert flow in answers, f"{flow} did not reach its target"
+
+    def is_dark(self):
+        known = {n for n, _ in self.world.agents.items()}
+        return any(target not in self.holders() for target in self.open.values()) or (
+            not known
+        )
+
+    def holders(self):
+        return [target for _, target in self.world.agents.values()]
+
+    @precondition(lambda self: self.open)
+    @rule(index=st.integers(0, 30))
+    def close_flow(self, index):
+        flow = list(self.open)[index % len(self.open)]
+        self.open.pop(flow).flows.discard(flow)
+
+    @rule(number=agents, heard_by=st.sets(balancers), confirmed=st.booleans())
+    def add_agent(self, number, heard_by, confirmed):
+        if number in self.world.agents:
+            return
+        self.targets += 1
+        target = Target(f"i-{self.targets}", SERVICE)
+        silent = {f"10.0.1.{n}" for n in BALANCERS if n not in heard_by}
+        self.world.lost = lambda source, to: to.host in silent
+        self.world.start_agent(number, SERVICE, target)
+        self.world.heartbeat(number)
+        self.world.lost = lambda source, to: False
+        if confirmed:
+            self.world.report(number)
+
+    @rule(number=agents)
+    def restart_agent(self, number):
+        if number in self.world.agents:
+            _, target = self.world.agents[number]
+            self.world.start_agent(number, SERVICE, target)
+
+    @rule(number=agents)
+    def drain(self, number):
+        if number in self.world.agents:
+            self.world.agents[number][1].draining = True
+            self.world.heartbeat(number)
+
+    @rule(number=agents)
+    def remove_agent_without_flows(self, number):
+        if number in self.world.agents:
+            target = self.world.agents[number][1]
+            if target.draining and not target.flows and len(self.world.agents) > 1:
+                self.world.stop_agent(number)
+
+    @rule(number=balancers)
+    def restart_balancer(self, number):
+        self.world.start_balancer(number)
+
+    @rule(number=agents)
+    def report(self, number):
+        if number in self.world.agents:
+            self.world.report(number)
+
+    @rule(seconds=st.sampled_from([0.05, 0.3]))
+    def pass_time(self, seconds):
+        self.world.now += seconds
+        for number in self.world.agents:
+            self.world.report(number)
+
+    def teardown(self):
+        for _, target in self.world.agents.values():
+            assert target.accepted_while_drained == []
+
+
+class PassingMachineTest(unittest.TestCase):
+    def test_open_flows_survive_planned_changes(self):
+        run_state_machine_as_test(PassingMachine, settings=STEPS)
+
+    def test_forgetting_what_was_known_of_a_draining_target_is_noticed(self):
+        def restore(self, target, draining):
+            self._restored = (target, False)
+            return True
+
+        patch = mock.patch.object(TargetBelief, "restore", restore)
+        with patch, self.assertRaises(AssertionError):
+            run_state_machine_as_test(PassingMachine, settings=MUTANT_STEPS)
+
+
+class NewcomerTest(unittest.TestCase):
+    """An agent that one balancer has not heard of yet."""
+
+    def play(self):
+        """Open flows while agent 3 is new, and send on them by balancer 2."""
+        world = started(1, 2)
+        world.lost = lambda source, to: to.host == "10.0.1.2"
+        world.start_agent(3, SERVICE, Target("i-3", SERVICE))
+        world.heartbeat(3)
+        world.lost = lambda source, to: False
+        flows = []
+        for number in range(30):
+            world.send(1, caller(number), SYN)
+            flow = Flow(caller(number), FRONT)
+            if world.holder_of(flow):
+                flows.append(flow)
+        for flow in flows:
+            self.assertEqual(world.send(2, flow.caller)[1], [])
+        return world
+
+    def test_its_flows_are_not_reset(self):
+        world = self.play()
+        self.assertEqual(world.agents[3][1].flows, set())
+        world.now += 0.2
+        world.report(3)
+        for number in range(100, 130):
+            world.send(1, caller(number), SYN)
+        self.assertGreater(len(world.agents[3][1].flows), 0)
+
+    def test_taking_flows_before_all_balancers_know_is_noticed(self):
+        done = mock.patch.object(Introduction, "is_done", lambda self, known, now: True)
+        with done, self.assertRaises(AssertionError):
+            self.play()
+
+    def test_it_does_not_wait_for_a_balancer_that_is_gone(self):
+        world = started(1, 2)
+        world.lost = lambda source, to: to.host == "10.0.1.2"
+        world.start_agent(3, SERVICE, Target("i-3", SERVICE))
+        world.heartbeat(3)
+        world.now += LIMIT_S
+        world.report(3)
+        for number in range(30):
+            world.send(1, caller(number), SYN)
+        self.assertGreater(len(world.agents[3][1].flows), 0)
+
+    def test_one_that_was_registered_before_does_not_wait(self):
+        world = started(1, 2)
+        world.lost = lambda source, to: to.host.startswith("10.0.1.")
+        world.start_agent(1, SERVICE, world.agents[1][1])
+        self.assertTrue(world.agents[1][0]._holder.introduced)
+
+
+class SearchTest(unittest.TestCase):
+    def open_flow(self, world, balancer=1):
+        world.send(balancer, caller(1), SYN)
+        return Flow(caller(1), FRONT)
+
+    def test_a_flow_is_found_by_a_balancer_that_has_just_started(self):
+        world = started(1, 2, 3, 4)
+        flow = self.open_flow(world)
+        for _ in range(5):
+            world.start_balancer(2)
+            answers, resets = world.send(2, flow.caller)
+            self.assertEqual((answers, resets), ([flow], []))
+
+    def test_a_flow_is_found_after_every_agent_has_restarted(self):
+        world = started(1, 2, 3, 4)
+        flow = self.open_flow(world)
+        for number in AGENTS:
+            world.start_agent(number, SERVICE, world.agents[number][1])
+        self.assertEqual(world.send(2, flow.caller)[0], [flow])
+
+    def test_a_flow_that_nobody_holds_is_reset_at_once(self):
+        world = started(1, 2, 3, 4)
+        flow = self.open_flow(world)
+        world.holder_of(flow).flows.discard(flow)
+        self.assertEqual(world.send(2, flow.caller), ([], [flow]))
+
+    def test_a_flow_is_not_reset_while_an_agent_is_silent(self):
+        world = started(1, 2, 3, 4)
+        flow = self.open_flow(world)
+        for _, target in world.agents.values():
+            target.flows.discard(flow)
+        world.lost = lambda source, to: "10.0.2.3" in (source.host, to.host)
+        world.now += 1.5
+        for number in AGENTS:
+            world.report(number)
+        self.assertEqual(world.send(2, flow.caller), ([], []))
+
+    def test_the_search_goes_on_past_a_dark_agent(self):
+        world = started(1, 2, 3, 4)
+        flow = self.open_flow(world)
+        holder = world.holder_of(flow)
+        dark = next(n for n, (_, t) in world.agents.items() if t is not holder)
+        world.lost = lambda source, to: f"10.0.2.{dark}" in (source.host, to.host)
+        answered = []
+        for _ in range(4):
+            world.now += 0.4
+            for number in AGENTS:
+                world.report(number)
+            answered += world.send(2, flow.caller)[0]
+        self.assertIn(flow, answered)
+
+    def test_a_balancer_that_has_not_listed_all_resets_nothing(self):
+        world = started(1, 2)
+        flow = self.open_flow(world)
+        world.holder_of(flow).flows.discard(flow)
+        world.balancers[2]._directory.complete = False
+        self.assertEqual(world.send(2, flow.caller), ([], []))
+
+    def test_resetting_without_having_listed_all_is_noticed(self):
+        settled = mock.patch.object(Directory, "is_settled", lambda *args: True)
+        with settled, self.assertRaises(AssertionError):
+            self.test_a_balancer_that_has_not_listed_all_resets_nothing()
+
+
+class ServiceTest(unittest.TestCase):
+    def test_an_address_used_again_gets_no_packets_of_the_service_before(self):
+        world = started(1, 2)
+        world.send(1, caller(1), SYN)
+        flow = Flow(caller(1), FRONT)
+        holder = world.holder_of(flow)
+        number = next(n for n, (_, t) in world.agents.items() if t is holder)
+        # The balancers have not noticed yet that another service is there now.
+        world.lost = lambda source, to: to.host.startswith("10.0.1.")
+        world.start_agent(number, OTHER_SERVICE, Target("i-other", OTHER_SERVICE))
+        world.heartbeat(number)
+        world.lost = lambda source, to: False
+        for balancer in BALANCERS:
+            world.send(balancer, flow.caller)
+            world.send(balancer, caller(2 + balancer), SYN)
+        self.assertEqual(world.agents[number][1].flows, set())
+
+    def test_routes_lead_to_their_service_only(self):
+        world = started(1, 2)
+        world.start_agent(3, OTHER_SERVICE, Target("i-3", OTHER_SERVICE))
+        world.heartbeat(3)
+        world.now += 2
+        world.report(3)
+        world.send(1, caller(1), SYN, OTHER_FRONT)
+        self.assertEqual(len(world.agents[3][1].flows), 1)
+
+    def test_an_opening_packet_without_route_is_reset_at_once(self):
+        world = started(1, 2)
+        nowhere = Address("198.18.0.9", 443)
+        answers, resets = world.send(1, caller(1), SYN, nowhere)
+        self.assertEqual((answers, resets), ([], [Flow(caller(1), nowhere)]))
+
+
+class TargetEndTest(unittest.TestCase):
+    def waiting_flow(self, world):
+        """Open a flow and leave its caller waiting for an answer."""
+        world.send(1, caller(1), SYN)
+        flow = Flow(caller(1), FRONT)
+        number = next(n for n, (_, t) in world.agents.items() if flow in t.flows)
+        world.send(1, caller(1), data=b"request")
+        return flow, number
+
+    def test_callers_of_a_target_that_is_replaced_are_told_at_once(self):
+        world = started(1, 2)
+        flow, number = self.waiting_flow(world)
+        agent, _ = world.agents[number]
+        world.agents[number] = (agent, Target("i-new", SERVICE))
+        world.heartbeat(number)
+        self.assertEqual(world.resets, [flow])
+
+    def test_flows_that_a_restarted_agent_saw_opened_are_not_reset(self):
+        """The first heartbeat after a restart is no proof of a new target."""
+        world = started(1, 2)
+        for number in (1, 2):
+            world.start_agent(number, SERVICE, world.agents[number][1])
+        self.waiting_flow(world)
+        for number in (1, 2):
+            world.heartbeat(number)
+        self.assertEqual(world.resets, [])
+
+    def test_a_new_flow_passes_over_a_target_that_has_ended(self):
+        world = started(1, 2)
+        dead = world.agents[1][1]
+        agent = world.agents[1][0]
+        world.to_target_before = world.to_target
+
+        def to_target(number, data):
+            if number == 1:
+                agent.on_target_packet(returned(data), None)
+            else:
+                world.to_target_before(number, data)
+
+        world.to_target = to_target
+        for number in range(3):
+            world.send(1, caller(number), SYN)
+        self.assertEqual(dead.flows, set())
+        self.assertEqual(len(world.agents[2][1].flows), 3)
--- /dev/null
+++ b/tests/support/packets.py
@@ -0,0 +1,55 @@
+"""Packets of the users' platform, as callers and targets write them."""
+
+import struct
+from socket import inet_aton
+
+SYN, ACK, FIN, RST, BOUNCED = 8, 16, 32, 2, 1
+HEADER = struct.Struct("!IIIHI4s4sHHB5s")
+SUM = 0xA1B2C3D5
+
+
+def packet(src, dst, flags, seq=0, ack=0, data=b"", echo=0, pad=b"\0" * 5):
+    """Return a datagram from ``src`` to ``dst``, each a (host, port) pair."""
+    head = HEADER.pack(
+        seq,
+        ack,
+        echo,
+        len(data),
+        SUM,
+        inet_aton(src[0]),
+        inet_aton(dst[0]),
+        dst[1],
+        src[1],
+        flags,
+        pad,
+    )
+    return head + data
+
+
+def returned(data):
+    """Return a datagram as a target returns it: flagged, with its pad cleared."""
+    fields = list(HEADER.unpack_from(data))
+    fields[9] |= BOUNCED
+    fields[10] = b"\0" * 5
+    return HEADER.pack(*fields) + data[HEADER.size :]
+
+
+def flags_of(data):
+    """Return the flags of a datagram."""
+    return HEADER.unpack_from(data)[9]
+
+
+def ends_of(data):
+    """Return the (host, port) pairs of the sender and the receiver."""
+    fields = HEADER.unpack_from(data)
+    src = ".".join(map(str, fields[5]))
+    dst = ".".join(map(str, fields[6]))
+    return (src, fields[8]), (dst, fields[7])
+
+
+def without_marks(data):
+    """Return a datagram with the fields that the system may write set to 0."""
+    fields = list(HEADER.unpack_from(data))
+    fields[2], fields[10] = 0, b"\0" * 5
+    fields[9] &= ~BOUNCED
+    return HEADER.pack(*fields) + data[HEADER.size :]
--- /dev/null
+++ b/tests/support/passing.py
@@ -0,0 +1,287 @@
+"""Balancers, agents and targets that pass packets, without sockets or a clock."""
+
+from collections import deque
+
+from ryesaddle.daemons.passing.agent import PassingAgent
+from ryesaddle.daemons.passing.agents import Agents
+from ryesaddle.daemons.passing.balancer import PassingBalancer
+from ryesaddle.daemons.passing.peers import BalancerEntry
+from ryesaddle.daemons.passing.settings import (
+    PassingAgentSettings,
+    PassingBalancerSettings,
+)
+from ryesaddle.internal.address import Address
+from ryesaddle.internal.membership.directory import Directory
+from ryesaddle.internal.metrics import Metrics
+from ryesaddle.internal.routing.dispatcher import Dispatcher
+from ryesaddle.internal.routing.route import Route, RouteTable, Share
+from ryesaddle.internal.target.belief import TargetBelief
+from ryesaddle.internal.target.flows import TargetFlows
+from ryesaddle.internal.target.holder import Holder
+from ryesaddle.internal.target.queue import FlowQueue
+from ryesaddle.internal.target.report import TargetReport
+from ryesaddle.internal.wire.passing import Candidate, decode_message, encode_message
+from ryesaddle.platform.packet import PlatformPackets
+from tests.support.packets import ACK, RST, SYN, packet, returned, without_marks
+
+SERVICE, OTHER_SERVICE = "case-desk", "pack-archive"
+FRONT, OTHER_FRONT = Address("198.18.0.1", 443), Address("198.18.0.2", 443)
+CALLER_PORT = 8172
+STORE = Address("10.200.0.1", 8169)
+
+
+def routes(version=1):
+    """Return a configuration with one route for each service."""
+    table = [
+        (front, Route(service, (Share(service),), 1.2, 0.15, 2, True))
+        for front, service in ((FRONT, SERVICE), (OTHER_FRONT, OTHER_SERVICE))
+    ]
+    return RouteTable(version, tuple(table), 15.0)
+
+
+class FakeMessages:
+    """The message socket of one process; messages go through the real codec."""
+
+    def __init__(self, world, address):
+        self._world = world
+        self._address = address
+        self.handlers = {}
+
+    def on(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def send(self, address, msg):
+        self._world.post(self._address, address, encode_message(msg))
+
+
+class FakePackets:
+    """A socket for packets: what is sent goes to the target or to a caller."""
+
+    def __init__(self, world, agent=None):
+        self._world = world
+        self._agent = agent
+
+    def send(self, data, address):
+        if address[1] == CALLER_PORT:
+            self._world.to_caller(data, address)
+        else:
+            self._world.to_target(self._agent, data)
+
+
+class FakeKeeper:
+    """The entry of one agent in the store."""
+
+    def __init__(self, world, node):
+        self._world = world
+        self._node = node
+
+    def want(self, entry):
+        if entry is None:
+            self._world.entries.pop(self._node, None)
+        else:
+            self._world.entries[self._node] = entry
+
+
+class FakeFollower:
+    """A configuration in force."""
+
+    def __init__(self):
+        self.routes = routes()
+        self.version = 1
+
+
+class Target:
+    """A target: holds flows, returns what it does not hold."""
+
+    def __init__(self, name, service):
+        self.name = name
+        self.service = service
+        self.flows = set()
+        self.sequence = 0
+        self.draining = False
+        self.accepted_while_drained = []
+
+    def report(self):
+        self.sequence += 1
+        return TargetReport(
+            self.name, self.service, self.sequence, draining=self.draining, slots=2
+        )
+
+
+class World:
+    """Carries messages at once, or drops those that a test chooses."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.balancers = {}
+        self.agents = {}
+        self.entries = {}
+        self.balancer_entries = {}
+        self.sent_by_callers = set()
+        self.resets = []
+        self.answers = []
+        self.lost = lambda source, target: False
+        self._queue = deque()
+        self._by_address = {}
+        self._runs = 0
+
+    def post(self, source, address, data):
+        self._queue.append((source, address, data))
+
+    def settle(self):
+        """Deliver everything that is on its way."""
+        steps = 0
+        while self._queue:
+            steps += 1
+            assert steps < 100_000, "messages go round in circles"
+            source, address, data = self._queue.popleft()
+            messages = self._by_address.get(address)
+            if messages is None or self.lost(source, address):
+                continue
+            msg = decode_message(data)
+            handler = messages.handlers.get(type(msg))
+            if handler is not None:
+                handler(msg, source)
+
+    def start_balancer(self, number):
+        """Start a balancer that has forgotten everything."""
+        node, address = f"edge-{number}", Address(f"10.0.1.{number}", 7000)
+        settings = PassingBalancerSettings(
+            node=node,
+            data_centre="dc",
+            peer=address,
+            control=address,
+            ready=address,
+            metrics=address,
+            callers=Address(address.host, CALLER_PORT),
+            store=STORE,
+        )
+        entry = BalancerEntry(
+            node=node, data_centre="dc", address=address, control=address
+        )
+        messages = FakeMessages(self, address)
+        directory, dispatcher = Directory(), Dispatcher()
+        agents = Agents(entry, messages, directory, dispatcher)
+        balancer = PassingBalancer(
+            settings,
+            PlatformPackets(),
+            dispatcher,
+            directory,
+            FakeFollower(),
+            messages,
+            FakePackets(self),
+            Metrics(),
+        )
+        agents._now = balancer._now = lambda: self.now
+        self.balancers[number] = balancer
+        self._by_address[address] = messages
+        self.balancer_entries[node] = entry
+        agents.know(tuple(self.entries.values()))
+        directory.complete = True
+        self.settle()
+
+    def start_agent(self, number, service=SERVICE, target=None):
+        """Start an agent; its target stays as it is, or is a new one."""
+        node, address = f"side-{number}", Address(f"10.0.2.{number}", 7000)
+        self._runs += 1
+        settings = PassingAgentSettings(
+            node=node,
+            data_centre="dc",
+            peer=address,
+            control=address,
+            ready=address,
+            metrics=address,
+            callers=Address(address.host, CALLER_PORT),
+            store=STORE,
+            service=service,
+            target_address=Address(address.host, 8165),
+            outbound=address,
+        )
+        belief, flows, queue = TargetBelief(service, 0.77), TargetFlows(), FlowQueue()
+        me = Candidate(node, address)
+        holder = Holder(me, service, belief, flows, queue)
+        holder.introduced = False
+        messages = FakeMessages(self, address)
+        PassingAgent._now = lambda agent: self.now
+        agent = PassingAgent(
+            settings,
+            self._runs,
+            PlatformPackets(),
+            belief,
+            flows,
+            queue,
+            holder,
+            messages,
+            FakePackets(self, number),
+            FakeKeeper(self, node),
+            Metrics(),
+        )
+        held = self.entries.get(node)
+        if held is not None and held.service == service:
+            agent.registered_before()
+            agent.restore(held.target, held.draining, "store")
+        self._by_address[address] = messages
+        self.agents[number] = (agent, target)
+        agent.know_balancers([e.address for e in self.balancer_entries.values()])
+        self.settle()
+
+    def stop_agent(self, number, gone=True):
+        """End an agent whose target has left."""
+        agent, target = self.agents.pop(number)
+        if gone:
+            agent.goodbye(target.name)
+            agent.report(gone=True)
+        self.settle()
+        self._by_address.pop(Address(f"10.0.2.{number}", 7000))
+
+    def heartbeat(self, number):
+        agent, target = self.agents[number]
+        agent.heartbeat(target.report())
+        self.settle()
+
+    def report(self, number):
+        self.agents[number][0].report()
+        self.settle()
+
+    def to_target(self, number, data):
+        agent, target = self.agents[number]
+        assert without_marks(data) in self.sent_by_callers, "changed on its way"
+        found = PlatformPackets().read_caller(without_marks(data))
+        if found.opens and target.draining:
+            target.accepted_while_drained.append(found.flow)
+        assert found.flow.front == (FRONT if target.service == SERVICE else OTHER_FRONT)
+        if found.opens:
+            target.flows.add(found.flow)
+            answer = packet(found.flow.front, found.flow.caller, SYN | ACK, 7)
+            agent.on_target_packet(answer, None)
+        elif found.flow in target.flows:
+            answer = packet(found.flow.front, found.flow.caller, ACK, 8)
+            agent.on_target_packet(answer, None)
+        else:
+            agent.on_target_packet(returned(data), None)
+
+    def to_caller(self, data, address):
+        found = PlatformPackets().read_target(data)
+        if found.resets:
+            self.resets.append(found.flow)
+        else:
+            self.answers.append(found.flow)
+
+    def send(self, balancer, caller, flags=ACK, front=FRONT, copy=0, data=b""):
+        """Let a caller send a packet through a balancer; return its answers."""
+        sent = packet(caller, front, flags, 5, copy, data)
+        self.sent_by_callers.add(sent)
+        before = len(self.answers), len(self.resets)
+        self.balancers[balancer].on_caller_packet(sent, caller)
+        self.settle()
+        return self.answers[before[0] :], self.resets[before[1] :]
+
+    def holder_of(self, flow):
+        """Return the target that holds a flow, or None."""
+        for _, target in self.agents.values():
+            if target is not None and flow in target.flows:
+                return target
+        return None
+
+
+__all__ = ["ACK", "FRONT", "OTHER_FRONT", "RST", "SYN", "Target", "World"]
--- /dev/null
+++ b/tests/target/test_holder.py
@@ -0,0 +1,176 @@
+import unittest
+
+from hypothesis import given, strategies as st
+
+from ryesaddle.internal.address import Address
+from ryesaddle.internal.routing.packet import Flow, Packet
+from ryesaddle.internal.target.belief import TargetBelief
+from ryesaddle.internal.target.flows import TargetFlows
+from ryesaddle.internal.target.holder import (
+    REFUSED_S,
+    SILENT_S,
+    Deliver,
+    GiveBack,
+    Hold,
+    Holder,
+    OfferTo,
+    Reject,
+)
+from ryesaddle.internal.target.queue import FlowQueue
+from ryesaddle.internal.target.report import TargetReport
+from ryesaddle.internal.wire.passing import Candidate, Carry
+
+ME = Candidate("side-1", Address("10.0.0.1", 7000))
+OTHER = Candidate("side-2", Address("10.0.0.2", 7000))
+THIRD = Candidate("side-3", Address("10.0.0.3", 7000))
+
+
+def flow(number=1):
+    return Flow(Address("100.64.0.7", number), Address("198.18.0.1", 443))
+
+
+def opening(number=1, copy=0):
+    return Packet(flow(number), opens=True, copy=copy)
+
+
+def carry(**changes):
+    fields = {
+        "service": "case-desk",
+        "balancer": Address("10.0.0.9", 7000),
+        "payload": b"packet",
+        "objective_ms": 150,
+        "timeout_ms": 1200,
+        **changes,
+    }
+    return Carry(**fields)
+
+
+class HolderCase(unittest.TestCase):
+    def setUp(self):
+        self.belief = TargetBelief("case-desk", 0.77)
+        self.flows = TargetFlows()
+        self.queue = FlowQueue()
+        self.holder = Holder(ME, "case-desk", self.belief, self.flows, self.queue)
+        self.hear()
+
+    def hear(self, sequence=1, **changes):
+        report = TargetReport("i-1", "case-desk", sequence, slots=2, **changes)
+        self.belief.hear(report, 0.0)
+
+    def work(self, count):
+        for number in range(count):
+            self.flows.opened(flow(1_000 + number), 0.0)
+            asked = Packet(flow(1_000 + number), has_data=True, position=1)
+            self.flows.from_caller(asked, b"", 0.0)
+
+    def decide(self, packet, now=0.0, **changes):
+        return self.holder.decide(carry(**changes), packet, now)
+
+
+class PlaceTest(HolderCase):
+    def test_a_free_target_takes_a_new_flow(self):
+        self.assertEqual(self.decide(opening()), Deliver("free"))
+
+    def test_a_busy_target_offers_a_new_flow_to_the_next(self):
+        self.work(2)
+        decision = self.decide(opening(), candidates=(OTHER, THIRD))
+        self.assertIsInstance(decision, OfferTo)
+        self.assertEqual(decision.candidate, OTHER)
+        self.assertEqual(decision.carry.candidates, (THIRD,))
+        self.assertEqual((decision.carry.best, decision.carry.best_load), (ME, 1.0))
+
+    def test_the_last_one_asked_returns_it_to_the_least_loaded(self):
+        self.work(4)
+        decision = self.decide(opening(), best=OTHER, best_load=1.5)
+        self.assertEqual((decision.candidate, decision.carry.settled), (OTHER, True))
+
+    def test_the_least_loaded_keeps_it_and_tells_the_balancer(self):
+        self.work(2)
+        decision = self.decide(opening(), best=OTHER, best_load=1.5)
+        self.assertEqual(decision, Deliver("least-loaded", moved=True))
+
+    def test_beyond_one_more_than_its_slots_a_flow_waits(self):
+        self.work(3)
+        self.assertEqual(self.decide(opening()), Hold("busy"))
+
+    def test_a_flow_that_cannot_be_served_is_rejected_at_once(self):
+        self.work(3)
+        decision = self.decide(opening(copy=2), timeout_ms=610)
+        self.assertEqual(decision, Reject("too-late"))
+
+    def test_a_waiting_flow_is_let_in_when_there_is_room(self):
+        self.work(3)
+        self.queue.put(flow(1), carry(), 0, 0.0)
+        self.assertIsNone(self.holder.next(0.01))
+        self.flows.from_target(Packet(flow(1_000), has_data=True), 0.02)
+        self.assertEqual(self.holder.next(0.02)[0], flow(1))
+
+
+class ClosedTest(HolderCase):
+    def test_a_draining_target_gets_no_new_flow_but_keeps_its_own(self):
+        self.flows.opened(flow(5), 0.0)
+        self.hear(2, draining=True)
+        decision = self.decide(opening(), candidates=(OTHER,))
+        self.assertEqual((decision.candidate, decision.reason), (OTHER, "not-open"))
+        self.assertIsInstance(self.decide(opening()), GiveBack)
+        self.assertEqual(self.decide(Packet(flow(5))), Deliver("held"))
+        self.assertEqual(self.decide(Packet(flow(6))), Deliver("asked"))
+
+    def test_a_stopping_agent_hands_new_flows_on(self):
+        self.holder.draining = True
+        self.assertIsInstance(self.decide(opening()), GiveBack)
+
+    def test_a_closed_agent_settles_an_offer_on_the_best_so_far(self):
+        self.hear(2, draining=True)
+        decision = self.decide(opening(), best=OTHER, best_load=2.0)
+        self.assertEqual((decision.candidate, decision.carry.settled), (OTHER, True))
+
+    def test_a_target_that_returned_an_opening_packet_is_left_alone_for_a_while(self):
+        self.assertTrue(self.holder.refused(1.0))
+        self.assertFalse(self.holder.refused(1.1))
+        self.assertIsInstance(self.decide(opening(), 1.1), GiveBack)
+        self.assertEqual(self.decide(opening(), 1.1 + REFUSED_S), Deliver("free"))
+
+    def test_a_target_that_answers_no_opening_packet_gets_no_more(self):
+        self.flows.opened(flow(5), 1.0, carry())
+        self.assertTrue(self.holder.is_open(1.0 + 0.9 * SILENT_S))
+        self.assertFalse(self.holder.is_open(1.01 + SILENT_S))
+        self.flows.target_lives()
+        self.assertTrue(self.holder.is_open(1.01 + SILENT_S))
+
+    def test_packets_of_another_service_are_given_back(self):
+        decision = self.decide(opening(), service="pack-archive")
+        self.assertEqual(decision.reason, "other-service")
+        self.assertIn(ME.node, decision.carry.asked)
+
+
+class AnyCarryTest(HolderCase):
+    @given(
+        service=st.sampled_from(["case-desk", "pack-archive"]),
+        opens=st.booleans(),
+        held=st.booleans(),
+        draining=st.booleans(),
+        busy=st.integers(0, 6),
+        candidates=st.sampled_from([(), (OTHER,), (OTHER, THIRD)]),
+        best=st.sampled_from([None, OTHER]),
+        settled=st.booleans(),
+    )
+    def test_the_target_gets_only_what_it_may(
+        self, service, opens, held, draining, busy, candidates, best, settled
+    ):
+        self.setUp()
+        self.work(busy)
+        if held:
+            self.flows.opened(flow(), 0.0)
+        if draining:
+            self.hear(2, draining=True)
+        packet = Packet(flow(), opens=opens)
+        decision = self.decide(
+            packet, service=service, candidates=candidates, best=best, settled=settled
+        )
+        if isinstance(decision, Deliver | Hold):
+            self.assertEqual(service, "case-desk")
+            self.assertTrue(held or not opens or not draining)
+        if isinstance(decision, OfferTo | GiveBack):
+            self.assertFalse(held and service == "case-desk")
+            self.assertTrue(opens or service != "case-desk")
