Test the platform's adapter, the target's beliefs, entries, logs and settings

Found by these tests: an entry was written again at each start, since JSON has no tuples; a caller that had half closed its connection lost an answer that was not ready.

--- a/src/ryesaddle/daemons/passing/entry.py
+++ b/src/ryesaddle/daemons/passing/entry.py
@@ -46,7 +46,8 @@
 
     def want(self, entry):
         """Have the store hold ``entry``, a struct, or nothing if it is None."""
-        self._wanted = None if entry is None else msgspec.to_builtins(entry)
+        # As the store gives it back: JSON has no tuples.
+        self._wanted = msgspec.json.decode(msgspec.json.encode(entry))
         self.settled.clear()
         self._changed.set()
 
--- a/src/ryesaddle/daemons/passing/http.py
+++ b/src/ryesaddle/daemons/passing/http.py
@@ -104,6 +104,7 @@
         self._timer = None
         self._url, self._body, self._size = b"", [], 0
         self._replies = deque()
+        self._ended = False
 
     def close(self):
         if self._transport is not None:
@@ -128,6 +129,11 @@
             self._transport.write(_encode(HttpReply(400)))
             self._transport.close()
 
+    def eof_received(self):
+        # A caller that sends no more may still wait for answers.
+        self._ended = True
+        return bool(self._replies)
+
     def on_message_begin(self):
         self._url, self._body, self._size = b"", [], 0
 
@@ -172,7 +178,7 @@
                 reply = _result(reply)
             self._replies.popleft()
             self._transport.write(_encode(reply))
-            if last:
+            if last or (self._ended and not self._replies):
                 self._transport.close()
 
     def _arm(self):
--- a/src/ryesaddle/platform/objects.py
+++ b/src/ryesaddle/platform/objects.py
@@ -15,7 +15,7 @@
 from ryesaddle.internal.store.object import Metadata, StoreObject, WatchEvent
 
 PREFIX = "/ryesaddle/objects"
-CALL_TIMEOUT_S = 1.0  # an answer takes 4 ms; a hundred times that when slow
+CALL_TIMEOUT_S = 2.0  # an answer takes 4 ms; a hundred times that when slow
 WATCH_WAIT_S = 20.0  # below the 30 s that the store permits
 WATCH_SLACK_S = 2.0  # for the way there and back
 ANNOTATIONS = "annotations"
@@ -133,7 +133,8 @@
         metadata = {"name": "", "resourceVersion": str(events.current_rev)}
         yield WatchEvent("BOOKMARK", {"kind": kind, "metadata": metadata})
 
-    async def _read(self, path, timeout_s=CALL_TIMEOUT_S):
+    async def _read(self, path, timeout_s=None):
+        timeout_s = CALL_TIMEOUT_S if timeout_s is None else timeout_s
         try:
             reply = await call(
                 self._address(), "GET", PREFIX + path, timeout_s=timeout_s
--- /dev/null
+++ b/tests/daemons/test_http.py
@@ -0,0 +1,132 @@
+import asyncio
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from ryesaddle.daemons.passing import http
+from ryesaddle.daemons.passing.http import HttpError, HttpReply, HttpServer, call
+from ryesaddle.daemons.passing.process import bind_tcp
+from ryesaddle.internal.address import Address
+
+HOST = "127.0.0.1"
+
+
+class HttpCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.requests = []
+        sock = bind_tcp((HOST, 0))
+        self.address = Address(*sock.getsockname())
+        self.server = HttpServer(self.handle)
+        await self.server.open(sock)
+
+    async def asyncTearDown(self):
+        self.server.close()
+
+    def handle(self, req):
+        self.requests.append(req)
+        if req.path == "/later":
+            return asyncio.ensure_future(self.later())
+        if req.path == "/fails":
+            raise RuntimeError("handler")
+        return HttpReply(200, b"%s %s" % (req.path.encode(), req.body))
+
+    async def later(self):
+        await asyncio.sleep(0.02)
+        return HttpReply(200, b"later")
+
+    async def exchange(self, data):
+        reader, writer = await asyncio.open_connection(*self.address)
+        writer.write(data)
+        writer.write_eof()
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+
+class ServerTest(HttpCase):
+    async def test_a_call_gets_the_answer_of_the_handler(self):
+        reply = await call(self.address, "POST", "/x?y=1", b'{"a":1}')
+        self.assertEqual((reply.status, reply.body), (200, b'/x?y=1 {"a":1}'))
+        self.assertEqual(self.requests[0].method, "POST")
+
+    async def test_a_failed_handler_is_answered_and_ends_nothing(self):
+        with self.assertLogs(http.log, "ERROR"):
+            reply = await call(self.address, "GET", "/fails")
+        self.assertEqual(reply.status, 503)
+        self.assertEqual((await call(self.address, "GET", "/ok")).status, 200)
+
+    async def test_answers_keep_the_order_of_their_requests(self):
+        request = b"GET /%s HTTP/1.1\r\nHost: x\r\n\r\n"
+        last = b"GET /c HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        answer = await self.exchange(request % b"later" + request % b"b" + last)
+        bodies = [part.rpartition(b"\r\n\r\n")[2] for part in answer.split(b"HTTP/1.1")]
+        self.assertEqual(bodies[1:], [b"later", b"/b ", b"/c "])
+
+    async def test_a_malformed_request_is_refused(self):
+        with self.assertLogs(http.log, "WARNING"):
+            answer = await self.exchange(b"not http at all\r\n\r\n")
+        self.assertIn(b" 400 ", answer.partition(b"\r\n")[0])
+
+    async def test_a_body_that_is_too_large_is_refused(self):
+        head = b"POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n"
+        answer = await self.exchange(head + b"x" * 100_000)
+        self.assertIn(b" 413 ", answer.partition(b"\r\n")[0])
+        self.assertEqual(self.requests, [])
+
+
+class ClientTest(HttpCase):
+    async def raw_server(self, answer):
+        async def serve(reader, writer):
+            await reader.read(100)
+            writer.write(answer)
+            await writer.drain()
+            if answer:
+                writer.close()
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        self.addCleanup(server.close)
+        return Address(*server.sockets[0].getsockname())
+
+    async def test_a_refused_connection_was_not_sent(self):
+        sock = bind_tcp((HOST, 0))
+        address = Address(*sock.getsockname())
+        sock.close()
+        with self.assertRaises(HttpError) as caught:
+            await call(address, "GET", "/")
+        self.assertFalse(caught.exception.sent)
+
+    async def test_a_cut_or_malformed_answer_is_an_error_after_sending(self):
+        cut = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"
+        for answer in (cut, b"HTTP/1.1 200 OK\r\n", b"odd odd odd\r\n\r\n"):
+            with self.assertRaises(HttpError) as caught:
+                await call(await self.raw_server(answer), "GET", "/")
+            self.assertTrue(caught.exception.sent, answer)
+
+    async def test_a_silent_server_is_given_up(self):
+        with self.assertRaises(HttpError) as caught:
+            await call(await self.raw_server(b""), "GET", "/", timeout_s=0.05)
+        self.assertTrue(caught.exception.sent)
+
+
+class OddInputTest(unittest.TestCase):
+    @settings(max_examples=50)
+    @given(st.lists(st.binary(max_size=60), max_size=4))
+    def test_any_bytes_are_answered_or_cut(self, chunks):
+        asyncio.run(self.feed(chunks))
+
+    async def feed(self, chunks):
+        sock = bind_tcp((HOST, 0))
+        address = sock.getsockname()
+        server = HttpServer(lambda req: HttpReply(200))
+        await server.open(sock)
+        reader, writer = await asyncio.open_connection(*address)
+        try:
+            for chunk in chunks:
+                writer.write(chunk)
+            writer.write_eof()
+            await reader.read()
+        except ConnectionError:
+            return
+        finally:
+            writer.close()
+            server.close()
--- /dev/null
+++ b/tests/membership/test_directory.py
@@ -0,0 +1,146 @@
+import unittest
+
+import msgspec
+from hypothesis import given, strategies as st
+
+from ryesaddle.internal.address import Address
+from ryesaddle.internal.membership.directory import FORGET_S, Directory, TargetEntry
+from ryesaddle.internal.wire.passing import Report
+
+
+def report(node="side-1", incarnation=1, sequence=1, **changes):
+    fields = {
+        "node": node,
+        "incarnation": incarnation,
+        "service": "case-desk",
+        "data_centre": "bkk-a",
+        "address": Address("10.0.0.1", 7000),
+        "open": True,
+        "load": 0.5,
+        "slots": 2,
+        "target": "i-1",
+        "draining": False,
+        "sequence": sequence,
+        **changes,
+    }
+    return Report(**fields)
+
+
+def entry(node="side-1", **changes):
+    fields = {
+        "node": node,
+        "service": "case-desk",
+        "data_centre": "bkk-a",
+        "address": Address("10.0.0.1", 7000),
+        "target": "i-1",
+        **changes,
+    }
+    return TargetEntry(**fields)
+
+
+class DirectoryTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = Directory()
+
+    def is_open(self, node="side-1"):
+        view = self.directory.view("case-desk")
+        return view is not None and view.is_open(view.by_node[node])
+
+    def test_a_report_opens_and_closes_an_agent(self):
+        self.directory.hear(report(), 0.0)
+        self.assertTrue(self.is_open())
+        self.directory.hear(report(sequence=2, open=False), 0.1)
+        self.assertFalse(self.is_open())
+
+    def test_an_older_report_changes_nothing(self):
+        self.directory.hear(report(incarnation=2, sequence=5, open=False), 0.0)
+        for late in (
+            report(incarnation=2, sequence=4),
+            report(incarnation=1, sequence=9),
+        ):
+            self.assertIsNone(self.directory.hear(late, 0.1))
+        self.assertFalse(self.is_open())
+
+    def test_reports_go_before_entries(self):
+        self.directory.list([entry(draining=True)], 0.0)
+        self.assertFalse(self.is_open())
+        self.directory.hear(report(), 0.1)
+        self.directory.list([entry(draining=True)], 0.2)
+        self.assertTrue(self.is_open())
+
+    def test_an_entry_without_target_takes_no_flows(self):
+        self.directory.list([entry(target="")], 0.0)
+        self.assertFalse(self.is_open())
+
+    def test_an_agent_that_is_gone_does_not_come_back_from_an_entry(self):
+        self.directory.hear(report(), 0.0)
+        self.assertEqual(
+            self.directory.hear(report(sequence=2, gone=True), 0.1), "gone"
+        )
+        self.directory.list([entry()], 0.2)
+        self.directory.hear(report(sequence=3), 0.3)
+        self.assertEqual(len(self.directory), 0)
+        self.directory.hear(report(incarnation=2), 0.4)
+        self.assertTrue(self.is_open())
+
+    def test_an_agent_may_move_to_another_service(self):
+        self.directory.hear(report(), 0.0)
+        moved = report(incarnation=2, service="pack-archive")
+        self.directory.hear(moved, 1.0)
+        self.assertIsNone(self.directory.view("case-desk"))
+        self.assertEqual(len(self.directory.view("pack-archive").members), 1)
+
+    def test_flows_sent_count_until_the_next_report(self):
+        self.directory.hear(report(), 0.0)
+        member = self.directory.find("side-1")
+        self.directory.sent("side-1")
+        self.assertEqual(self.directory.load(member), 1.0)
+        self.directory.hear(report(sequence=2), 0.2)
+        self.assertEqual(self.directory.load(member), 0.5)
+
+    def test_agents_that_are_silent_for_long_are_forgotten(self):
+        self.directory.hear(report("side-1"), 0.0)
+        self.directory.hear(report("side-2"), FORGET_S)
+        gone = self.directory.forget_silent(FORGET_S + 0.1)
+        self.assertEqual([member.node for member in gone], ["side-1"])
+        self.assertIsNone(self.directory.find("side-1"))
+
+    def test_digests_of_equal_sets_are_equal(self):
+        other = Directory()
+        for node in ("a", "b"):
+            self.directory.hear(report(node), 0.0)
+        for node in ("b", "a"):
+            other.list([entry(node)], 0.0)
+        self.assertEqual(self.directory.digest(), other.digest())
+        other.remove("a")
+        self.assertNotEqual(self.directory.digest(), other.digest())
+
+    @given(
+        st.lists(st.tuples(st.integers(1, 3), st.integers(1, 5), st.booleans())),
+        st.randoms(use_true_random=False),
+    )
+    def test_the_newest_report_decides_in_any_order(self, sent, rng):
+        directory = Directory()
+        reports = [
+            report(incarnation=run, sequence=seq, open=is_open)
+            for run, seq, is_open in {(r, s): (r, s, o) for r, s, o in sent}.values()
+        ]
+        rng.shuffle(reports)
+        for item in reports:
+            directory.hear(item, 0.0)
+        if reports:
+            newest = max(reports, key=lambda r: (r.incarnation, r.sequence))
+            view = directory.view("case-desk")
+            self.assertEqual(view.is_open(view.members[0]), newest.open)
+
+    def test_settled_needs_a_complete_list_and_every_answer(self):
+        for node in ("a", "b"):
+            self.directory.hear(report(node), 0.0)
+        self.assertFalse(self.directory.is_settled("case-desk", ("a", "b")))
+        self.directory.complete = True
+        self.assertFalse(self.directory.is_settled("case-desk", ("a",)))
+        self.assertTrue(self.directory.is_settled("case-desk", ("a", "b")))
+
+    def test_messages_keep_their_fields_through_the_codec(self):
+        data = msgspec.msgpack.encode(report(gone=True))
+        self.assertEqual(msgspec.msgpack.decode(data, type=Report), report(gone=True))
--- /dev/null
+++ b/tests/platform/test_objects.py
@@ -0,0 +1,185 @@
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+import msgspec
+
+from ryesaddle.daemons.passing.entry import EntryKeeper, list_entries
+from ryesaddle.errors import (
+    ConflictError,
+    GoneError,
+    StoreError,
+    StoreUnavailableError,
+)
+from ryesaddle.internal.address import Address
+from ryesaddle.internal.membership.directory import TargetEntry
+from ryesaddle.internal.store.client import StoreClient
+from ryesaddle.internal.store.pacing import Backoff
+from ryesaddle.platform import objects
+from ryesaddle.platform.objects import PlatformObjects
+from tests.support.deployment import free_port
+from tests.support.platform_store import PAGE, serve
+
+QUICK = Backoff(0.01, 0.05)
+KIND = "ryesaddle-targets"
+WAIT_S = 60.0
+
+
+def entry(node="side-1", **changes):
+    fields = {
+        "node": node,
+        "service": "case-desk",
+        "data_centre": "bkk-a",
+        "address": Address("10.0.0.1", 7000),
+        **changes,
+    }
+    return TargetEntry(**fields)
+
+
+class StoreCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        port = free_port()
+        self.runner, self.store = await serve("127.0.0.1", port)
+        api = PlatformObjects(lambda: Address("127.0.0.1", port))
+        self.client = StoreClient(api, random.Random(1), QUICK)
+
+    async def asyncTearDown(self):
+        await self.runner.cleanup()
+
+    async def until(self, condition):
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+
+class CallTest(StoreCase):
+    async def test_an_object_is_written_read_and_removed(self):
+        made = await self.client.write(KIND, "a/b c", {"n": 1}, "")
+        held = await self.client.get(KIND, "a/b c")
+        self.assertEqual((held.spec, held.metadata), ({"n": 1}, made.metadata))
+        await self.client.delete(KIND, "a/b c", made.metadata.resource_version)
+        self.assertIsNone(await self.client.get(KIND, "a/b c"))
+
+    async def test_a_write_over_another_version_conflicts(self):
+        first = await self.client.write(KIND, "a", {"n": 1}, "")
+        version = first.metadata.resource_version
+        await self.client.write(KIND, "a", {"n": 2}, version)
+        for wrong in (version, ""):
+            with self.assertRaises(ConflictError):
+                await self.client.write(KIND, "a", {"n": 3}, wrong)
+        with self.assertRaises(ConflictError):
+            await self.client.delete(KIND, "a", version)
+
+    async def test_lost_and_late_writes_take_effect_once(self):
+        for fault in ("lose_answers", "late", "not_done"):
+            before = await self.client.get(KIND, "a")
+            version = before.metadata.resource_version if before else ""
+            self.store.faults = {fault: 1}
+            done = await self.client.write(KIND, "a", {"by": fault}, version)
+            self.assertEqual(done.spec, {"by": fault})
+            revision = self.store.revision
+            await asyncio.sleep(0.1)
+            self.assertEqual(self.store.revision, revision, fault)
+
+    async def test_a_late_write_does_not_undo_a_newer_one(self):
+        first = await self.client.write(KIND, "a", {"n": 1}, "")
+        self.store.faults = {"late": 1}
+        version = first.metadata.resource_version
+        writing = asyncio.ensure_future(self.client.write(KIND, "a", {"n": 2}, version))
+        await asyncio.sleep(0.01)
+        self.store.put(KIND, "a", {"annotations": {}, "content": {"n": 3}})
+        with self.assertRaises(ConflictError):
+            await writing
+        await asyncio.sleep(0.1)
+        self.assertEqual((await self.client.get(KIND, "a")).spec, {"n": 3})
+
+    async def test_refusals_are_told_from_answers(self):
+        for fault in ("down", "throttle", "reset"):
+            self.store.faults = {fault: True}
+            with self.assertRaises(StoreUnavailableError):
+                await self.client.get(KIND, "a", attempts=1)
+            with self.assertRaises(StoreError):
+                await self.client.write(KIND, "a", {}, "")
+        self.store.faults = {}
+        self.assertIsNone(await self.client.get(KIND, "a"))
+
+    async def test_a_silent_store_is_given_up(self):
+        self.store.faults = {"silent": True}
+        limit = mock.patch.object(objects, "CALL_TIMEOUT_S", 0.05)
+        with limit, self.assertRaises(StoreUnavailableError):
+            await self.client.list(KIND, attempts=1)
+
+    async def test_a_list_of_many_pages_is_whole(self):
+        for number in range(2 * PAGE + 1):
+            self.store.put(KIND, f"n{number:05}", {"n": number})
+        items, _ = await self.client.list(KIND)
+        self.assertEqual([i.spec["n"] for i in items], list(range(2 * PAGE + 1)))
+
+    async def test_a_stale_list_is_asked_for_as_such(self):
+        await self.client.list(KIND, stale=True)
+        self.assertEqual(dict(self.store.calls), {"stale": 1})
+
+    async def test_a_watch_tells_changes_and_where_to_go_on(self):
+        _, version = await self.client.list(KIND)
+        made = await self.client.write(KIND, "a", {"n": 1}, "")
+        await self.client.delete(KIND, "a", made.metadata.resource_version)
+        events = [event async for event in self.client.watch(KIND, version)]
+        self.assertEqual(
+            [event.type for event in events], ["MODIFIED", "DELETED", "BOOKMARK"]
+        )
+        self.store.history, self.store.forgotten = [], self.store.revision
+        with self.assertRaises(GoneError):
+            async for _ in self.client.watch(KIND, version):
+                pass
+
+
+class EntryTest(StoreCase):
+    async def test_malformed_entries_are_left_out(self):
+        good = msgspec.to_builtins(entry())
+        for name, spec in (
+            ("bad-1", None),
+            ("bad-2", "text"),
+            ("bad-3", {"annotations": {}, "content": {"node": 5}}),
+            ("bad-4", {"annotations": 5, "content": []}),
+            ("good", {"annotations": {}, "content": good}),
+        ):
+            self.store.put(KIND, name, spec)
+        self.store.objects[KIND, "bad-0"] = {"meta": "odd"}
+        found = await list_entries(self.client, KIND, TargetEntry)
+        self.assertEqual(found, {"good": entry()})
+
+    async def test_an_entry_is_written_on_change_only(self):
+        keeper = EntryKeeper(self.client, KIND, "side-1", random.Random(1))
+        task = asyncio.ensure_future(keeper.run())
+        for wanted in (entry(), entry(), entry(draining=True)):
+            keeper.want(wanted)
+            await asyncio.wait_for(keeper.settled.wait(), WAIT_S)
+        self.assertEqual(self.store.calls["write"], 2)
+        keeper.want(None)
+        await asyncio.wait_for(keeper.settled.wait(), WAIT_S)
+        self.assertIsNone(await self.client.get(KIND, "side-1"))
+        task.cancel()
+
+    async def test_an_entry_is_written_when_the_store_is_back(self):
+        self.store.faults = {"down": True}
+        keeper = EntryKeeper(self.client, KIND, "side-1", random.Random(1))
+        task = asyncio.ensure_future(keeper.run())
+        keeper.want(entry())
+        await self.until(lambda: self.store.calls["read"] >= 2)
+        self.assertFalse(keeper.settled.is_set())
+        self.store.faults = {}
+        await asyncio.wait_for(keeper.settled.wait(), WAIT_S)
+        held = await self.client.get(KIND, "side-1")
+        self.assertEqual(msgspec.convert(held.spec, TargetEntry), entry())
+        task.cancel()
+
+    async def test_an_entry_of_another_writer_is_replaced(self):
+        await self.client.write(KIND, "side-1", {"odd": True}, "")
+        keeper = EntryKeeper(self.client, KIND, "side-1", random.Random(1))
+        task = asyncio.ensure_future(keeper.run())
+        keeper.want(entry())
+        await asyncio.wait_for(keeper.settled.wait(), WAIT_S)
+        found = await list_entries(self.client, KIND, TargetEntry)
+        self.assertEqual(found, {"side-1": entry()})
+        task.cancel()
