--- a/src/ryesaddle/daemons/passing/run_balancer.py
+++ b/src/ryesaddle/daemons/passing/run_balancer.py
@@ -91,6 +91,7 @@
             "store_read_age_s": round(follower.read_age_s(loop.time()), 1),
             "flows": len(dispatcher),
             "agents": len(directory),
+            "open_agents": directory.count_open(),
             "balancers": len(peers.live()) + 1,
             "store_calls": store.calls,
             "leaving": peers.leaving,
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -82,6 +82,10 @@
         """Return all agents as `Member` items."""
         return [agent.member for agent in self._agents.values()]
 
+    def count_open(self):
+        """Return how many agents take new flows."""
+        return sum(agent.open for agent in self._agents.values())
+
     def digest(self):
         """Return an integer that differs between different sets of agents."""
         if self._digest is None:
--- /dev/null
+++ b/tests/support/platform_deployment.py
@@ -0,0 +1,347 @@
+"""Real processes of the platform roles on loopback, with stand-ins around them.
+
+Each host has a loopback address of its own, so that ports are the same on all.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from ryesaddle.daemons.passing.http import HttpError, call
+from ryesaddle.internal.address import Address
+from tests.support.deployment import free_port
+from tests.support.packets import (
+    ACK,
+    FIN,
+    RST,
+    SYN,
+    ends_of,
+    flags_of,
+    packet,
+    returned,
+)
+
+ROOT = Path(__file__).resolve().parents[2]
+START = ROOT / "src" / "ryesaddle" / "platform" / "start.py"
+FRONTS = {"case-desk": ("198.18.0.1", 443), "pack-archive": ("198.18.0.2", 443)}
+WAIT_S = 60.0
+
+
+def configuration(version=1, services=FRONTS):
+    """Return the operator's configuration object."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": f"r-{name}",
+                "host": FRONTS[name][0],
+                "pathPrefix": f"/{FRONTS[name][1]}/",
+                "type": "idempotent",
+                "timeoutMs": 5000,
+                "targetLatencyMs": 500,
+                "priority": 1,
+                "service": name,
+            }
+            for name in services
+        ],
+        "limits": {"idleTimeoutMs": 15000},
+    }
+
+
+class Target(asyncio.DatagramProtocol):
+    """A target: accepts flows, answers data with its name, returns the rest."""
+
+    def __init__(self, name, service, app, outbound, admin):
+        self.name, self.service = name, service
+        self.app, self.outbound, self.admin = app, outbound, admin
+        self.state, self.sequence = "ready", 0
+        self.flows, self.opened, self.answered = set(), [], []
+        self.acknowledged = 0
+        self._transport = None
+
+    async def open(self):
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=self.app)
+
+    def close(self):
+        if self._transport is not None:
+            self._transport.close()
+
+    def connection_made(self, transport):
+        self._transport = transport
+
+    def datagram_received(self, data, addr):
+        caller, front = ends_of(data)
+        flow, flags = (caller, front), flags_of(data)
+        if flags & SYN:
+            self.flows.add(flow)
+            self.opened.append(flow)
+            self.send(packet(front, caller, SYN | ACK, 900))
+        elif flow not in self.flows:
+            self.send(returned(data))
+        elif len(data) > 36:
+            self.answered.append(flow)
+            body = f"{self.name}:".encode() + data[36:]
+            self.send(packet(front, caller, ACK, 901, 1, body))
+        elif flags & FIN:
+            self.flows.discard(flow)
+            self.send(packet(front, caller, ACK | FIN, 902, 1))
+
+    def send(self, data):
+        self._transport.sendto(data, self.outbound)
+
+    async def beat(self):
+        """Send heartbeats until cancelled."""
+        while True:
+            await self.heartbeat()
+            await asyncio.sleep(0.1)
+
+    async def heartbeat(self):
+        self.sequence += 1
+        body = {
+            "service": self.service,
+            "address": f"{self.app.host}:{self.app.port}",
+            "zone": "dc",
+            "version": "v1",
+            "slots": 2,
+            "state": self.state,
+            "warmupLeftMs": 0,
+            "seq": self.sequence,
+        }
+        path = f"/ryesaddle/instances/{self.name}/heartbeat"
+        try:
+            reply = await call(self.admin, "POST", path, json.dumps(body).encode())
+        except HttpError:
+            return
+        self.acknowledged += reply.status == 200
+
+
+class Caller(asyncio.DatagramProtocol):
+    """A host of callers; every flow has a port of its own in the packets."""
+
+    def __init__(self, address):
+        self.address = address
+        self.received = {}
+        self._ports = 10_000
+        self._transport = None
+
+    async def open(self):
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=self.address)
+
+    def connection_made(self, transport):
+        self._transport = transport
+
+    def datagram_received(self, data, addr):
+        _, caller = ends_of(data)
+        self.received.setdefault(caller[1], []).append(data)
+
+    def close(self):
+        self._transport.close()
+
+    def new_port(self):
+        self._ports += 1
+        return self._ports
+
+    def send(self, balancer, port, flags, front, data=b"", seq=1, ack=0):
+        source = (self.address.host, port)
+        self._transport.sendto(packet(source, front, flags, seq, ack, data), balancer)
+
+    def is_open(self, port):
+        return any(flags_of(d) == SYN | ACK for d in self.received.get(port, ()))
+
+    def is_reset(self, port):
+        return any(flags_of(d) & RST for d in self.received.get(port, ()))
+
+    def answers(self, port):
+        return [d[36:] for d in self.received.get(port, ()) if len(d) > 36]
+
+
+class PlatformDeployment:
+    """A store, balancers, agents and targets.
+
+    Parameters
+    ----------
+    balancers : int
+        How many balancers.
+    services : sequence of str
+        Service of each target.
+    """
+
+    def __init__(self, balancers=2, services=("case-desk", "case-desk")):
+        self._folder = tempfile.TemporaryDirectory()
+        self.folder = Path(self._folder.name)
+        self.store = Address("127.0.0.1", free_port())
+        self.ports = {name: free_port() for name in ("callers", "admin", "ready")}
+        self.ports.update({n: free_port() for n in ("peer", "metrics", "app", "out")})
+        self.edges = [f"127.0.10.{number + 1}" for number in range(balancers)]
+        self.sides = [f"127.0.11.{number + 1}" for number in range(len(services))]
+        self.targets = [
+            Target(
+                f"i-{number}",
+                service,
+                self.at(host, "app"),
+                self.at(host, "out"),
+                self.at(host, "admin"),
+            )
+            for number, (host, service) in enumerate(zip(self.sides, services))
+        ]
+        self.caller = Caller(self.at("127.0.12.1", "callers"))
+        self.processes = {}
+        self._beats = []
+
+    def at(self, host, port):
+        """Return an address of a host."""
+        return Address(host, self.ports[port])
+
+    async def start(self):
+        """Start everything and wait until new flows can be served."""
+        self.start_store()
+        await self.until(self._store_answers)
+        for target in self.targets:
+            await target.open()
+            self._beats.append(asyncio.ensure_future(target.beat()))
+        await self.caller.open()
+        for host in self.edges:
+            self.start_process(host)
+        for host in self.sides:
+            self.start_process(host)
+        for host in self.edges:
+            await self.until(lambda host=host: self.knows_all(host))
+
+    def start_store(self):
+        self._spawn(
+            "store",
+            "-m",
+            "tests.support.platform_store",
+            *map(str, self.store),
+            json.dumps(configuration()),
+        )
+
+    def start_process(self, host):
+        """Start the balancer or the agent of a host."""
+        role = "balancer" if host in self.edges else "agent"
+        fields = {
+            "node": host,
+            "data_centre": "dc",
+            "store": str(self.store),
+            "seeds": [str(self.at(edge, "admin")) for edge in self.edges],
+            "callers": str(self.at(host, "callers")),
+            "control": str(self.at(host, "admin")),
+            "stop_limit_s": 6,
+        }
+        for name in ("peer", "ready", "metrics"):
+            fields[name] = str(self.at(host, name))
+        if role == "agent":
+            target = self.targets[self.sides.index(host)]
+            fields.update(
+                service=target.service,
+                target_address=str(target.app),
+                outbound=str(target.outbound),
+                heartbeat_ms=100,
+            )
+        file = self.folder / f"{host}.json"
+        file.write_text(json.dumps(fields))
+        early = fields["callers" if role == "balancer" else "peer"]
+        self._spawn(host, str(START), role, early, RYESADDLE_SETTINGS=str(file))
+
+    def _spawn(self, name, *words, **env):
+        log = (self.folder / f"{name}.log").open("ab")
+        env = {**os.environ, "PYTHONPATH": str(ROOT / "src"), **env}
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, *words], cwd=ROOT, env=env, stdout=log, stderr=log
+        )
+
+    def kill(self, name, signum=signal.SIGKILL):
+        """Send a signal to a process; one that must end is waited for."""
+        process = self.processes[name]
+        process.send_signal(signum)
+        if signum == signal.SIGKILL:
+            process.wait()
+
+    async def stop(self):
+        for beat in self._beats:
+            beat.cancel()
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        for target in self.targets:
+            target.close()
+        self.caller.close()
+        self._folder.cleanup()
+
+    def log(self, name):
+        """Return the log of a process as text."""
+        return (self.folder / f"{name}.log").read_text(errors="replace")
+
+    async def until(self, condition):
+        """Wait until a function, or a coroutine function, gives a true value."""
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                found = condition()
+                if asyncio.iscoroutine(found):
+                    found = await found
+                if found:
+                    return
+                await asyncio.sleep(0.02)
+
+    async def get(self, host, path, port="admin"):
+        """Return the reply of a process, or None if it does not answer."""
+        try:
+            return await call(self.at(host, port), "GET", path)
+        except HttpError:
+            return None
+
+    async def status(self, host):
+        reply = await self.get(host, "/status")
+        return None if reply is None else json.loads(reply.body)
+
+    async def knows_all(self, host):
+        """Whether a balancer is ready and every agent of it is open."""
+        found = await self.status(host)
+        return (
+            found is not None
+            and found["configuration"] > 0
+            and found["open_agents"] == len(self.sides)
+        )
+
+    async def _store_answers(self):
+        try:
+            reply = await call(self.store, "GET", "/ryesaddle/objects/config/main")
+        except HttpError:
+            return False
+        return reply.status == 200
+
+    async def store_call(self, method, path, value):
+        """Make a call to the store's stand-in, past its faults."""
+        await call(self.store, method, path, json.dumps(value).encode())
+
+    async def open_flow(self, host, service="case-desk"):
+        """Open a flow through a balancer; return its port."""
+        port = self.caller.new_port()
+        front, copy = FRONTS[service], 0
+        async with asyncio.timeout(WAIT_S):
+            while not self.caller.is_open(port):
+                self.caller.send(self.at(host, "callers"), port, SYN, front, ack=copy)
+                copy = min(copy + 1, 2)
+                await asyncio.sleep(0.2)
+        return port
+
+    async def ask(self, host, port, data, service="case-desk"):
+        """Send data on a flow until an answer to it comes; return the answer."""
+        seq = 1 + len(self.caller.answers(port))
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                for answer in self.caller.answers(port):
+                    if answer.endswith(b":" + data):
+                        return answer
+                front = FRONTS[service]
+                to = self.at(host, "callers")
+                self.caller.send(to, port, ACK, front, data, seq, 900)
+                await asyncio.sleep(0.1)
