Take an isolated balancer out of the rotation

Change: it is not ready while it hears none of the agents it knows, or less than half of those another balancer hears.

--- a/src/ryesaddle/daemons/passing/agents.py
+++ b/src/ryesaddle/daemons/passing/agents.py
@@ -58,6 +58,10 @@
                 self._messages.send(entry.address, hello)
         self._directory.list(entries, self._now())
 
+    def count(self):
+        """Return how many agents are known."""
+        return len(self._directory)
+
     def live(self):
         """Return the names of the agents that are heard."""
         return self._directory.heard(self._now())
--- a/src/ryesaddle/daemons/passing/peers.py
+++ b/src/ryesaddle/daemons/passing/peers.py
@@ -9,6 +9,7 @@
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.log import event, warn
 from ryesaddle.internal.membership.directory import TargetEntry
+from ryesaddle.internal.membership.isolation import is_isolated
 from ryesaddle.internal.routing.route import RouteTable
 from ryesaddle.internal.wire.passing import Gossip
 
@@ -71,6 +72,8 @@
         self._agents = agents
         self._others = {}
         self._heard_at = {}
+        self._agents_heard = {}
+        self._isolated = False
         self._compared = {}
         self._fetching = False
         self._tasks = set()
@@ -105,6 +108,7 @@
             version=self._follower.version,
             read_age_ms=round(self._follower.read_age_s(self._now()) * 1000),
             agents=self._agents.digest(),
+            heard=len(self._agents.live()),
             leaving=self.leaving,
         )
         for address in self._others:
@@ -139,6 +143,25 @@
             if now - self._heard_at[address] <= SILENT_S
         ]
 
+    def is_ready(self):
+        """Whether new flows are to be sent to this balancer."""
+        if self.leaving or self._follower.routes is None:
+            return False
+        now = self._now()
+        others = [
+            heard
+            for address, heard in self._agents_heard.items()
+            if now - self._heard_at[address] <= SILENT_S
+        ]
+        heard, known = len(self._agents.live()), self._agents.count()
+        isolated = is_isolated(heard, known, others)
+        if isolated != self._isolated:
+            self._isolated = isolated
+            most = max(others, default=0)
+            name = "isolated" if isolated else "not-isolated"
+            event(log, name, heard=heard, known=known, heard_by_others=most)
+        return not isolated
+
     def _add(self, entry):
         event(log, "balancer-known", balancer=entry.node, address=entry.address)
         self._others[entry.address] = entry
@@ -149,6 +172,7 @@
         for address, at in list(self._heard_at.items()):
             if now - at > FORGET_S:
                 del self._heard_at[address]
+                self._agents_heard.pop(address, None)
                 entry = self._others.pop(address)
                 event(log, "balancer-forgotten", balancer=entry.node, address=address)
 
@@ -164,6 +188,7 @@
                 )
             )
         self._heard_at[msg.address] = now
+        self._agents_heard[msg.address] = msg.heard
         self._follower.heard(msg.node, msg.read_age_ms / 1000, now)
         if self._has_more(msg) and not self._fetching:
             self._compared[msg.node] = msg.agents
--- a/src/ryesaddle/daemons/passing/run_balancer.py
+++ b/src/ryesaddle/daemons/passing/run_balancer.py
@@ -101,8 +101,7 @@
 
     def handle(req):
         if req.path == ready_path:
-            is_ready = follower.routes is not None and not peers.leaving
-            return HttpReply(200 if is_ready else 503)
+            return HttpReply(200 if peers.is_ready() else 503)
         if req.path == STATE_PATH:
             return peers.state()
         return admin.answer(req) or HttpReply(404)
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -10,7 +10,7 @@
 from ryesaddle.internal.routing.view import ServiceView
 from ryesaddle.internal.wire.passing import Report
 
-HEARD_S = 1.0  # five reports
+HEARD_S = 0.7  # three reports are missing
 FORGET_S = 30.0  # longer than an entry of a silent agent stays in the store
 MAX_GONE = 1_024  # agents that late entries may name; each is a name and a number
 
--- a/src/ryesaddle/internal/wire/passing.py
+++ b/src/ryesaddle/internal/wire/passing.py
@@ -178,6 +178,8 @@
         Time since it last read the configuration from the store, in milliseconds.
     agents : int
         Digest of the agents it knows.
+    heard : int
+        How many agents it hears.
     leaving : bool
         Whether it is about to stop.
     """
@@ -190,6 +192,7 @@
     version: int
     read_age_ms: int
     agents: int = 0
+    heard: int = 0
     leaving: bool = False
 
 
