Search past agents that do not answer, serve the newest of those in time first

Change: agents that are heard are asked first; a search whose agent has not answered for 0.1 s goes on, and resets nothing then; agents confirm flows they were asked for.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
 
 from bench.broken import run_broken
 from bench.datapath import run_datapath, run_flow_memory
+from bench.passing import run_passing
 from bench.placement import LOADS, POLICIES, run_overload, run_placement
 from bench.processes import (
     run_changes,
@@ -19,6 +20,7 @@
     run_processes,
 )
 from bench.slopes import run_slopes
+from bench.surge import run_surge
 
 RESULTS = Path(__file__).parent / "results"
 BENCHMARKS = {
@@ -32,6 +34,8 @@
     "downloads": run_downloads,
     "open_flows": run_open_flows,
     "changes": run_changes,
+    "surge": run_surge,
+    "passing": run_passing,
 }
 
 
--- /dev/null
+++ b/bench/passing.py
@@ -0,0 +1,222 @@
+"""What the processes that pass packets cost, by flow, packet, agent and balancer."""
+
+import time
+import tracemalloc
+
+from ryesaddle.internal.address import Address
+from ryesaddle.internal.membership.directory import Directory
+from ryesaddle.internal.routing.dispatcher import Dispatcher
+from ryesaddle.internal.routing.packet import Flow, Packet
+from ryesaddle.internal.target.belief import TargetBelief
+from ryesaddle.internal.target.flows import TargetFlows
+from ryesaddle.internal.target.holder import Holder
+from ryesaddle.internal.target.queue import FlowQueue
+from ryesaddle.internal.target.report import TargetReport
+from ryesaddle.internal.wire.passing import (
+    Candidate,
+    Carry,
+    Gossip,
+    Report,
+    decode_message,
+    encode_message,
+)
+from ryesaddle.platform.packet import PlatformPackets
+
+SERVICE = "case-desk"
+FRONT = Address("198.18.0.1", 443)
+FLOWS = (12_500, 25_000, 50_000, 100_000)
+AGENTS = (32, 64, 128, 256, 512)
+ROUNDS = 2_000
+OPENING = bytes.fromhex(
+    "11223344 00000000 00000000 0000 a1b2c3d5 64400007 c6120001 01bb 9c41 08 0000000000"
+)
+
+
+def run_passing():
+    """Return rows of a figure by a size, each with a straight line fitted."""
+    rows = []
+    for name, sizes, measure in (
+        ("balancer memory, bytes by remembered flow", FLOWS, _balancer_memory),
+        ("agent memory, bytes by flow at its target", FLOWS, _agent_memory),
+        ("directory, bytes by agents", AGENTS, _directory_memory),
+        ("opening packet at the balancer, us by agents", AGENTS, _route_us),
+        ("later packet at the balancer, us by agents", AGENTS, _forward_us),
+        ("report at the balancer, us by agents", AGENTS, _report_us),
+        ("search at the balancer, us by agents", AGENTS, _search_us),
+    ):
+        points = {size: round(measure(size), 2) for size in sizes}
+        slope, base = _fit(points)
+        rows.append({"what": name, "points": points, "slope": slope, "base": base})
+    rows.append({"what": "one size", **_fixed()})
+    return rows
+
+
+def _report(number, sequence=1):
+    return Report(
+        node=f"side-bkk-a-{number}",
+        incarnation=1_790_976_583_252_000_000,
+        service=SERVICE,
+        data_centre="bkk-a",
+        address=Address(f"10.0.{number // 250}.{number % 250}", 7000),
+        open=True,
+        load=0.5 + (number % 7) / 10,
+        slots=2,
+        target=f"i-{number:08x}",
+        draining=False,
+        sequence=sequence,
+    )
+
+
+def _directory(agents):
+    directory = Directory()
+    for number in range(agents):
+        directory.hear(_report(number), 0.0)
+    return directory
+
+
+def _flow(number):
+    caller = Address(f"100.{64 + number // 60_000}.0.7", 1_024 + number % 60_000)
+    return Flow(caller, FRONT)
+
+
+def _memory(fill):
+    tracemalloc.start()
+    kept = fill()
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return used
+
+
+def _balancer_memory(flows):
+    directory = _directory(8)
+    members = directory.members()
+
+    def fill():
+        dispatcher = Dispatcher()
+        for number in range(flows):
+            dispatcher.placed(SERVICE, _flow(number), members[number % 8])
+        return dispatcher
+
+    return _memory(fill)
+
+
+def _agent_memory(flows):
+    def fill():
+        held = TargetFlows()
+        for number in range(flows):
+            held.adopted(_flow(number), 0.0)
+        return held
+
+    return _memory(fill)
+
+
+def _directory_memory(agents):
+    return _memory(lambda: _directory(agents))
+
+
+def _time_us(function, rounds=ROUNDS):
+    best = float("inf")
+    for turn in range(3):
+        started = time.perf_counter()
+        for number in range(turn * rounds, (turn + 1) * rounds):
+            function(number)
+        best = min(best, time.perf_counter() - started)
+    return best / rounds * 1e6
+
+
+def _route_us(agents):
+    directory, dispatcher = _directory(agents), Dispatcher()
+    view = directory.view(SERVICE)
+
+    def lives(member):
+        return directory.lives(member.node, 0.0)
+
+    def route(number):
+        flow = _flow(number)
+        found = dispatcher.route(
+            SERVICE, flow, True, view, 0.0, 0, directory.load, lives
+        )
+        dispatcher.placed(SERVICE, flow, found.member)
+
+    return _time_us(route)
+
+
+def _forward_us(agents):
+    directory, dispatcher = _directory(agents), Dispatcher()
+    view, packets = directory.view(SERVICE), PlatformPackets()
+    flow = packets.read_caller(OPENING).flow
+    dispatcher.placed(SERVICE, flow, view.members[0])
+
+    def forward(number):
+        packet = packets.read_caller(OPENING)
+        found = dispatcher.route(SERVICE, packet.flow, False, view, 0.0)
+        encode_message(Carry(SERVICE, found.member.address, OPENING))
+
+    return _time_us(forward)
+
+
+def _report_us(agents):
+    directory, dispatcher = _directory(agents), Dispatcher()
+
+    def hear(number):
+        report = _report(number % agents, 2 + number)
+        report = decode_message(encode_message(report))
+        dispatcher.heard(report.node)
+        directory.hear(report, 0.0)
+
+    return _time_us(hear)
+
+
+def _search_us(agents):
+    directory, dispatcher = _directory(agents), Dispatcher()
+    view = directory.view(SERVICE)
+
+    def search(number):
+        dispatcher.search(SERVICE, _flow(number), False, ("side-bkk-a-1",), view, 0.0)
+
+    return _time_us(search)
+
+
+def _fixed():
+    belief, flows = TargetBelief(SERVICE, 0.77), TargetFlows()
+    belief.hear(TargetReport("i-1", SERVICE, 1, slots=2), 0.0)
+    me = Candidate("side-1", FRONT)
+    holder = Holder(me, SERVICE, belief, flows, FlowQueue())
+    packets = PlatformPackets()
+    carry = Carry(SERVICE, FRONT, OPENING)
+    envelope = encode_message(carry)
+    packet = packets.read_caller(OPENING)
+    gossip = Gossip(
+        node="edge-bkk-a-1",
+        data_centre="bkk-a",
+        incarnation=1_790_976_583_252_000_000,
+        address=FRONT,
+        control=FRONT,
+        version=12,
+        read_age_ms=800,
+        agents=2**63,
+        heard=54,
+    )
+    return {
+        "report, bytes": len(encode_message(_report(1))),
+        "gossip, bytes": len(encode_message(gossip)),
+        "envelope of a packet, bytes": len(encode_message(carry)) - len(OPENING),
+        "read a caller's packet, us": round(
+            _time_us(lambda n: packets.read_caller(OPENING)), 2
+        ),
+        "decide at the agent, us": round(
+            _time_us(lambda n: holder.decide(carry, Packet(packet.flow), 0.0)), 2
+        ),
+        "decode an envelope, us": round(
+            _time_us(lambda n: decode_message(envelope)), 2
+        ),
+    }
+
+
+def _fit(points):
+    xs, ys = list(points), list(points.values())
+    mean_x, mean_y = sum(xs) / len(xs), sum(ys) / len(ys)
+    spread = sum((x - mean_x) ** 2 for x in xs)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in zip(xs, ys)) / spread
+    return round(slope, 4), round(mean_y - slope * mean_x, 2)
--- a/src/ryesaddle/daemons/passing/agent.py
+++ b/src/ryesaddle/daemons/passing/agent.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import deque
 
 import msgspec
 
@@ -25,7 +26,8 @@
 
 REPORT_S = 0.2  # a third of the time after which a balancer suspects an agent
 EXPIRE_S = 1.0
-SERVE_S = 0.02  # a fraction of a request; most are let in when an answer passes by
+WATCH_S = 0.02  # a fraction of a request; most are let in when an answer passes by
+CONFIRM_S = 0.02  # a target beside its agent returns a packet within a millisecond
 ACK_REPORTS = 5  # one report in so many asks for a confirmation: one a second
 FORGET_BALANCER_S = 15.0  # longer than any outage that a balancer comes back from
 MAX_AWAITED = 1_024  # packets that may be returned; a return takes below 1 ms
@@ -102,6 +104,7 @@
         self._balancers = {}
         self._sequence = 0
         self._awaited = [None] * MAX_AWAITED
+        self._unconfirmed = deque()
         self._token = 0
         self._target_silent = False
         self.knows_target = asyncio.Event()
@@ -318,19 +321,36 @@
                 self._tell_held(carry, packet.flow)
         else:
             self._flows.from_caller(packet, carry.payload, now)
-        self._to_target(carry.payload, carry)
+        token = self._to_target(carry.payload, carry)
+        if decision.reason == "asked":
+            self._unconfirmed.append((now, token, carry, packet.flow))
         self._metrics.count("agent.delivered")
 
     def _tell_held(self, carry, flow):
         held = Held(self._settings.node, carry.service, flow.caller, flow.front)
         self._messages.send(carry.balancer, held)
 
-    async def serve_waiting(self):
-        """Look after the flows that wait until cancelled."""
+    async def watch(self):
+        """Look after flows and the target until cancelled."""
         while True:
-            await asyncio.sleep(SERVE_S)
-            self._watch_target()
-            self._serve_waiting()
+            await asyncio.sleep(WATCH_S)
+            self.tick()
+
+    def tick(self):
+        """Do what time alone makes due."""
+        self._watch_target()
+        self._serve_waiting()
+        self._confirm_held()
+
+    def _confirm_held(self):
+        """Tell balancers of flows whose packets the target has not returned."""
+        now = self._now()
+        while self._unconfirmed and now - self._unconfirmed[0][0] >= CONFIRM_S:
+            _, token, carry, flow = self._unconfirmed.popleft()
+            awaited = self._awaited[token % MAX_AWAITED]
+            if awaited is not None and awaited.token == token:
+                self._flows.adopted(flow, now)
+                self._tell_held(carry, flow)
 
     def _watch_target(self):
         """Place new flows elsewhere when the target has become silent."""
@@ -369,6 +389,7 @@
         self._awaited[self._token % MAX_AWAITED] = awaited
         data = self._packets.with_token(payload, self._token)
         self._target.send(data, self._settings.target_address)
+        return self._token
 
     def on_target_packet(self, data, addr):
         """Take a datagram of the target."""
--- a/src/ryesaddle/daemons/passing/balancer.py
+++ b/src/ryesaddle/daemons/passing/balancer.py
@@ -8,10 +8,13 @@
 from ryesaddle.internal.log import event
 from ryesaddle.internal.routing.dispatcher import Discard
 from ryesaddle.internal.routing.packet import Flow
+from ryesaddle.internal.routing.search import Searches
 from ryesaddle.internal.wire.passing import Candidate, Carry, Held, Return
 
 log = logging.getLogger(__name__)
 
+CONTINUE_S = 0.05  # half of the time after which an agent is passed over
+
 
 class PassingBalancer:
     """Sends the packets of callers to agents, and searches for lost flows.
@@ -58,6 +61,7 @@
         self._messages = messages
         self._callers = callers
         self._metrics = metrics
+        self._searches = Searches()
         self.received_at = 0.0
         messages.on(Return, self._on_return)
         messages.on(Held, self._on_held)
@@ -88,6 +92,7 @@
             self._now(),
             packet.copy,
             self._directory.load,
+            self._lives,
         )
         if isinstance(decision, Discard):
             self._drop(packet, decision.reason)
@@ -118,6 +123,8 @@
         self._dispatcher.placed(carry.service, packet.flow, member)
         if packet.opens:
             self._directory.sent(member.node)
+        else:
+            self._searches.asked(packet, carry, member.node, self._now())
         event(
             log,
             "route",
@@ -132,6 +139,19 @@
             configuration=self._follower.version,
         )
 
+    async def run(self):
+        """Continue searches whose agent does not answer, until cancelled."""
+        while True:
+            await asyncio.sleep(CONTINUE_S)
+            self.continue_searches()
+
+    def continue_searches(self):
+        """Ask the next agent for each flow whose agent has not answered."""
+        for search in self._searches.overdue(self._now()):
+            asked = (*search.carry.asked, search.node)
+            carry = msgspec.structs.replace(search.carry, asked=asked, unsure=True)
+            self._search(carry, search.packet)
+
     def _on_return(self, msg, addr):
         self._dispatcher.heard(msg.node)
         packet = self._packets.read_caller(msg.carry.payload)
@@ -139,6 +159,7 @@
             self._metrics.count("balancer.malformed")
             return
         self._metrics.count(f"balancer.returned.{msg.reason}")
+        self._searches.answered(packet.flow)
         self._search(msg.carry, packet)
 
     def _search(self, carry, packet):
@@ -147,22 +168,35 @@
         found = None
         if view is not None:
             found = self._dispatcher.search(
-                carry.service, packet.flow, packet.opens, carry.asked, view, now
+                carry.service,
+                packet.flow,
+                packet.opens,
+                carry.asked,
+                view,
+                now,
+                self._lives,
             )
         if found is not None:
             self._send(found, carry, packet)
         elif packet.opens:
             self._drop(packet, "no-open-member")
-        elif self._directory.is_settled(carry.service, carry.asked):
+        elif not carry.unsure and self._directory.is_settled(
+            carry.service, carry.asked
+        ):
             self._reset(packet, "held-nowhere")
         else:
+            self._dispatcher.forget_flow(carry.service, packet.flow)
             self._drop(packet, "holder-unknown")
 
+    def _lives(self, member):
+        return self._directory.lives(member.node, self._now())
+
     def _on_held(self, msg, addr):
         self._dispatcher.heard(msg.node)
         member = self._directory.find(msg.node)
         if member is not None:
             flow = Flow(msg.caller, msg.front)
+            self._searches.answered(flow)
             self._dispatcher.placed(msg.service, flow, member)
 
     def _reset(self, packet, reason):
--- a/src/ryesaddle/daemons/passing/run_agent.py
+++ b/src/ryesaddle/daemons/passing/run_agent.py
@@ -136,7 +136,7 @@
     event(log, "started", node=settings.node, role="agent", target=belief.target)
     tasks.start(settings.run)
     tasks.start(agent.run)
-    tasks.start(agent.serve_waiting)
+    tasks.start(agent.watch)
     tasks.start(keeper.run)
     tasks.start(_complete, store, agent, keeper, learning)
     await stop.wait()
--- a/src/ryesaddle/daemons/passing/run_balancer.py
+++ b/src/ryesaddle/daemons/passing/run_balancer.py
@@ -124,6 +124,7 @@
     tasks.start(follower.run)
     tasks.start(peers.run)
     tasks.start(agents.run)
+    tasks.start(balancer.run)
     tasks.start(Cleaner(settings.node, store, peers, agents).run)
     tasks.start(_complete, store, agents, peers, directory, keeper, learning)
     await stop.wait()
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -176,11 +176,14 @@
 
     def heard(self, now):
         """Return the names of the agents that have reported lately."""
-        return {
-            node
-            for node, agent in self._agents.items()
-            if agent.heard_at is not None and now - agent.heard_at <= HEARD_S
-        }
+        return {node for node in self._agents if self.lives(node, now)}
+
+    def lives(self, node, now):
+        """Whether an agent has reported lately."""
+        agent = self._agents.get(node)
+        if agent is None or agent.heard_at is None:
+            return False
+        return now - agent.heard_at <= HEARD_S
 
     def forget_silent(self, now):
         """Forget and return the agents that have not reported for long."""
--- a/src/ryesaddle/internal/routing/dispatcher.py
+++ b/src/ryesaddle/internal/routing/dispatcher.py
@@ -57,7 +57,7 @@
     def __len__(self):
         return len(self._owners)
 
-    def route(self, service, caller, opens, view, now, copy=0, load=None):
+    def route(self, service, caller, opens, view, now, copy=0, load=None, lives=None):
         """Return a `Dispatch` or `Discard` for one datagram.
 
         Parameters
@@ -76,6 +76,8 @@
             How often the same opening datagram was sent before.
         load : callable, optional
             Returns the load of a `Member`; without it, rank alone decides.
+        lives : callable, optional
+            Whether a `Member` has been heard lately; others are used last.
         """
         if view is None or not view.members:
             return Discard("no-members")
@@ -84,18 +86,39 @@
             self._expect(owner, now)
             return Dispatch(owner, "cached")
         if opens and load is not None:
-            return self._least_loaded(service, caller, owner, view, now, copy, load)
-        return self._ranked(service, caller, opens, view, now)
+            return self._least_loaded(
+                service, caller, owner, view, now, copy, load, lives
+            )
+        return self._ranked(service, caller, opens, view, now, lives)
 
     def placed(self, service, caller, member):
         """Remember where a datagram of the flow was sent, until more is known."""
         self._remember((service, caller), member.identity)
 
-    def search(self, service, caller, opens, asked, view, now):
+    def forget_flow(self, service, caller):
+        """Forget where datagrams of a flow were sent."""
+        self._owners.pop((service, caller), None)
+
+    def search(self, service, caller, opens, asked, view, now, lives=None):
         """Return a `Dispatch` to an agent not in ``asked``, or None if none is left.
 
-        Suspects are asked last, since their silence ends the search. A datagram
-        that opens a flow is for open agents only.
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        caller : Address or Flow
+            The flow.
+        opens : bool
+            Whether the datagram opens a flow; it is for open agents only then.
+        asked : container of str
+            The agents that do not hold the flow, or have not answered.
+        view : ServiceView
+            The members known now.
+        now : float
+            Seconds on a monotonic clock.
+        lives : callable, optional
+            Whether a `Member` has been heard lately. Others, and suspects, are asked
+            last, since their silence delays the search.
         """
         left = [
             m
@@ -105,9 +128,9 @@
         if not left:
             return None
         ranked = rank(flow_key(service, caller), left)
-        ranked.sort(key=lambda m: self.is_suspect(m, now))
-        self._expect(ranked[0], now)
-        return Dispatch(ranked[0], "search")
+        chosen = (self._alive(ranked, now, lives) or ranked)[0]
+        self._expect(chosen, now)
+        return Dispatch(chosen, "search")
 
     def answered(self, service, caller, node, incarnation, now):
         """Remember that ``node`` owns the flow; return whether that is news."""
@@ -154,20 +177,25 @@
             return None
         return member
 
-    def _ranked(self, service, caller, opens, view, now):
+    def _alive(self, members, now, lives):
+        unsuspected = [m for m in members if not self.is_suspect(m, now)]
+        if lives is None:
+            return unsuspected
+        return [m for m in unsuspected if lives(m)] or unsuspected
+
+    def _ranked(self, service, caller, opens, view, now, lives):
         ranked = rank(flow_key(service, caller), view.members)
-        alive = [m for m in ranked if not self.is_suspect(m, now)] or ranked
+        alive = self._alive(ranked, now, lives) or ranked
         chosen = alive[0]
         if opens:
             chosen = next((m for m in alive if view.is_open(m)), chosen)
         self._expect(chosen, now)
         return Dispatch(chosen, "ranked")
 
-    def _least_loaded(self, service, caller, owner, view, now, copy, load):
+    def _least_loaded(self, service, caller, owner, view, now, copy, load, lives):
         ranked = rank(flow_key(service, caller), view.members)
         open_members = [m for m in ranked if view.is_open(m)]
-        alive = [m for m in open_members if not self.is_suspect(m, now)]
-        usable = alive or open_members
+        usable = self._alive(open_members, now, lives) or open_members
         if copy and owner in usable and len(usable) > 1:
             usable.remove(owner)
         if not usable:
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -115,6 +115,12 @@
         if len(self._flows) > MAX_FLOWS:
             self._drop(next(iter(self._flows)))
 
+    def adopted(self, flow, now):
+        """Note that the target holds a flow whose opening was not seen."""
+        if flow not in self._flows:
+            record = self._flows[flow] = _Record(now, None, DEFAULT_WORK_S)
+            record.at_work, record.confirmed = False, True
+
     def from_caller(self, packet, payload, now):
         """Note a packet of an open flow that was passed to the target."""
         record = self._flows.get(packet.flow)
--- a/src/ryesaddle/internal/target/holder.py
+++ b/src/ryesaddle/internal/target/holder.py
@@ -7,6 +7,7 @@
 # A target beside its agent answers an opening packet within a millisecond
 # (agent.open in the metrics of a run).
 SILENT_S = 0.1
+AHEAD = 2  # flows that open while all slots work; see bench/surge.py
 REFUSED_S = 0.25  # until a target that returned an opening packet is tried again
 
 
@@ -114,10 +115,9 @@
     def has_room(self, now):
         """Whether the target can run one more request soon.
 
-        One more than it has slots, since a request arrives only a round trip
-        after its flow was let in.
+        A request arrives only a round trip after its flow was let in.
         """
-        return self._flows.at_work(now) <= self._belief.slots
+        return self._flows.at_work(now) < self._belief.slots + AHEAD
 
     def decide(self, carry, packet, now):
         """Return `Deliver`, `Hold`, `OfferTo`, `GiveBack` or `Reject`.
--- a/src/ryesaddle/internal/target/queue.py
+++ b/src/ryesaddle/internal/target/queue.py
@@ -61,9 +61,10 @@
     """Chooses the next flow for a target that has room.
 
     After an outage more flows wait than can be served within their objective. Those
-    that can still be are served first, the more urgent before the less urgent; the
-    others follow while there is room. A flow that cannot be served any more is
-    given up at once.
+    that can still be are served first, the more urgent before the less urgent and
+    the newest before the oldest, so that each has time to spare; the others follow
+    while there is room. A flow that cannot be served any more is given up at once.
+    Reference: Maurer, "Fail at Scale", ACM Queue, 2015 (adaptive LIFO).
     """
 
     def __init__(self):
@@ -125,4 +126,5 @@
 
 def _urgency(item, service_s, now):
     is_late = now + service_s > item.objective_at
-    return (is_late, item.carry.priority, item.arrived_at)
+    order = item.arrived_at if is_late else -item.arrived_at
+    return (is_late, item.carry.priority, order)
--- a/tests/support/passing.py
+++ b/tests/support/passing.py
@@ -143,6 +143,18 @@
             if handler is not None:
                 handler(msg, source)
 
+    def pass_time(self, seconds):
+        """Let time pass in small steps, with everything that it makes due."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(end, self.now + 0.05)
+            for agent, _ in self.agents.values():
+                agent.tick()
+            self.settle()
+            for balancer in self.balancers.values():
+                balancer.continue_searches()
+            self.settle()
+
     def start_balancer(self, number):
         """Start a balancer that has forgotten everything."""
         node, address = f"edge-{number}", Address(f"10.0.1.{number}", 7000)
