Reset no flow whose opening packet only waited

Change: what waits is dropped in silence when it is too late; only a first copy that finds the queue full is rejected. Test: CopyTest.

--- a/src/ryesaddle/daemons/passing/agent.py
+++ b/src/ryesaddle/daemons/passing/agent.py
@@ -12,7 +12,14 @@
 from ryesaddle.internal.membership.introduction import Introduction
 from ryesaddle.internal.target.belief import Ignored, Taken
 from ryesaddle.internal.target.flows import Opened, Served
-from ryesaddle.internal.target.holder import Deliver, GiveBack, Hold, OfferTo, Reject
+from ryesaddle.internal.target.holder import (
+    Deliver,
+    Drop,
+    GiveBack,
+    Hold,
+    OfferTo,
+    Reject,
+)
 from ryesaddle.internal.wire.passing import (
     Carry,
     Held,
@@ -302,6 +309,8 @@
                     self._tell_held(carry, packet.flow)
             case Reject(reason=reason):
                 self._reset(packet, reason)
+            case Drop(reason=reason):
+                self._drop(packet, reason)
             case OfferTo(candidate=candidate, carry=onward, reason=reason):
                 self._messages.send(candidate.address, onward)
                 self._metrics.count(f"agent.passed.{reason}")
@@ -370,8 +379,9 @@
             return
         now = self._now()
         for _, item in self._queue.give_up(self._flows.service_s, now):
-            packet = self._packets.read_caller(item.carry.payload)
-            self._reset(packet, "too-late")
+            # A reset could end the flow at another agent that got a later copy. The
+            # caller gives up by itself within the time of one request.
+            self._drop(self._packets.read_caller(item.carry.payload), "too-late")
         while (found := self._holder.next(now)) is not None:
             _, item = found
             packet = self._packets.read_caller(item.carry.payload)
@@ -437,6 +447,10 @@
         self._metrics.count(f"agent.reset.{reason}")
         event(log, "reset", flow=packet.flow, reason=reason, target=self._belief.target)
 
+    def _drop(self, packet, reason):
+        self._metrics.count(f"agent.dropped.{reason}")
+        self._log_decision("drop", packet, reason, "")
+
     def _to_caller(self, data, flow):
         self._target.send(data, (flow.caller.host, self._settings.callers.port))
 
--- a/src/ryesaddle/internal/log.py
+++ b/src/ryesaddle/internal/log.py
@@ -145,7 +145,9 @@
         try:
             if not select.select((), (self._fd,), (), 0)[1]:
                 return 0
-            return os.write(self._fd, data[:CHUNK_BYTES])
+            # Whole lines, so that what others write does not fall between.
+            end = data.rfind(b"\n", 0, CHUNK_BYTES) + 1 or CHUNK_BYTES
+            return os.write(self._fd, data[:end])
         except OSError:
             # Nobody reads any more, and there is no other place to say so.
             return len(data)
--- a/src/ryesaddle/internal/target/holder.py
+++ b/src/ryesaddle/internal/target/holder.py
@@ -55,6 +55,12 @@
     reason: str
 
 
+class Drop(msgspec.Struct, frozen=True):
+    """Do nothing: another copy of the packet may have opened the flow elsewhere."""
+
+    reason: str
+
+
 class GiveBack(msgspec.Struct, frozen=True):
     """Return the packet to the balancer, which tries elsewhere."""
 
@@ -120,7 +126,7 @@
         return self._flows.at_work(now) < self._belief.slots + AHEAD
 
     def decide(self, carry, packet, now):
-        """Return `Deliver`, `Hold`, `OfferTo`, `GiveBack` or `Reject`.
+        """Return `Deliver`, `Hold`, `OfferTo`, `GiveBack`, `Reject` or `Drop`.
 
         Parameters
         ----------
@@ -175,7 +181,8 @@
             return Deliver("least-loaded", moved)
         if self._queue.can_wait(carry, packet.copy, self._flows.service_s, now):
             return Hold("busy", moved)
-        return Reject("too-late")
+        # Only the first copy is known to have been nowhere else.
+        return Drop("too-late") if packet.copy else Reject("too-many")
 
     def _offer(self, carry, packet, moved, now):
         best, best_load = self._me, self.load(now)
--- a/tests/routing/test_passing.py
+++ b/tests/routing/test_passing.py
@@ -18,6 +18,7 @@
 from ryesaddle.internal.routing.packet import Flow
 from ryesaddle.internal.routing.search import ANSWER_S
 from ryesaddle.internal.target.belief import TargetBelief
+from ryesaddle.internal.target.holder import AHEAD
 from tests.support.packets import returned
 from tests.support.passing import (
     FRONT,
@@ -301,6 +302,27 @@
             self.test_a_balancer_that_has_not_listed_all_resets_nothing()
 
 
+class CopyTest(unittest.TestCase):
+    def test_a_waiting_copy_that_is_given_up_ends_no_flow_elsewhere(self):
+        """The first copy waits at one agent, the second opens the flow at another."""
+        world = started(1, 2)
+        agent = world.agents[1][0]
+        for number in range(100, 110):
+            world.send(1, caller(number), SYN)
+        busy = [f for n in (1, 2) for f in world.agents[n][1].flows]
+        self.assertEqual(len(busy), 2 * (2 + AHEAD))
+        waiting = [f for f in map(self.flow, range(100, 110)) if f not in busy]
+        held = [f for f in waiting if f in agent._queue]
+        for found in held:
+            world.agents[2][1].flows.add(found)
+        world.pass_time(2.0)
+        self.assertEqual(len(agent._queue), 0)
+        self.assertEqual(world.resets, [])
+
+    def flow(self, number):
+        return Flow(caller(number), FRONT)
+
+
 class ServiceTest(unittest.TestCase):
     def test_an_address_used_again_gets_no_packets_of_the_service_before(self):
         world = started(1, 2)
