--- a/bench/passing.py
+++ b/bench/passing.py
@@ -5,8 +5,9 @@
 
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.membership.directory import Directory
-from ryesaddle.internal.routing.dispatcher import Dispatcher
 from ryesaddle.internal.routing.packet import Flow, Packet
+from ryesaddle.internal.routing.placement import Placement
+from ryesaddle.internal.routing.search import Searches
 from ryesaddle.internal.target.belief import TargetBelief
 from ryesaddle.internal.target.flows import TargetFlows
 from ryesaddle.internal.target.holder import Holder
@@ -89,14 +90,13 @@
 
 
 def _balancer_memory(flows):
-    directory = _directory(8)
-    members = directory.members()
+    nodes = [m.node for m in _directory(8).members()]
 
     def fill():
-        dispatcher = Dispatcher()
+        placement = Placement("bkk-a", None)
         for number in range(flows):
-            dispatcher.placed(SERVICE, _flow(number), members[number % 8])
-        return dispatcher
+            placement.placed(_flow(number), nodes[number % 8])
+        return placement
 
     return _memory(fill)
 
@@ -126,54 +126,49 @@
 
 
 def _route_us(agents):
-    directory, dispatcher = _directory(agents), Dispatcher()
-    view = directory.view(SERVICE)
-
-    def lives(member):
-        return directory.lives(member.node, 0.0)
+    directory = _directory(agents)
+    placement = Placement("bkk-a", directory)
 
     def route(number):
         flow = _flow(number)
-        found = dispatcher.route(
-            SERVICE, flow, True, view, 0.0, 0, directory.load, lives
-        )
-        dispatcher.placed(SERVICE, flow, found.member)
+        found = placement.open(SERVICE, flow, 0, 0.0)
+        placement.placed(flow, found.member.node)
 
     return _time_us(route)
 
 
 def _forward_us(agents):
-    directory, dispatcher = _directory(agents), Dispatcher()
-    view, packets = directory.view(SERVICE), PlatformPackets()
-    flow = packets.read_caller(OPENING).flow
-    dispatcher.placed(SERVICE, flow, view.members[0])
+    directory, packets = _directory(agents), PlatformPackets()
+    placement = Placement("bkk-a", directory)
+    placement.placed(packets.read_caller(OPENING).flow, "side-bkk-a-1")
 
     def forward(number):
         packet = packets.read_caller(OPENING)
-        found = dispatcher.route(SERVICE, packet.flow, False, view, 0.0)
-        encode_message(Carry(SERVICE, found.member.address, OPENING))
+        member = placement.find(SERVICE, packet.flow)
+        encode_message(Carry(SERVICE, member.address, OPENING))
 
     return _time_us(forward)
 
 
 def _report_us(agents):
-    directory, dispatcher = _directory(agents), Dispatcher()
+    directory = _directory(agents)
 
     def hear(number):
         report = _report(number % agents, 2 + number)
         report = decode_message(encode_message(report))
-        dispatcher.heard(report.node)
         directory.hear(report, 0.0)
 
     return _time_us(hear)
 
 
 def _search_us(agents):
-    directory, dispatcher = _directory(agents), Dispatcher()
-    view = directory.view(SERVICE)
+    placement, searches = Placement("bkk-a", _directory(agents)), Searches()
 
     def search(number):
-        dispatcher.search(SERVICE, _flow(number), False, ("side-bkk-a-1",), view, 0.0)
+        packet = Packet(_flow(number))
+        searches.add(packet, OPENING, SERVICE, 0.0)
+        members = placement.order(SERVICE, packet.flow, False, 0.0)
+        searches.next(packet.flow, members, True, 0.0)
 
     return _time_us(search)
 
--- a/bench/surge.py
+++ b/bench/surge.py
@@ -10,8 +10,9 @@
 
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.membership.directory import Directory
-from ryesaddle.internal.routing.dispatcher import Discard, Dispatcher
+from ryesaddle.internal.routing.dispatcher import Discard, Dispatch
 from ryesaddle.internal.routing.packet import Flow, Packet
+from ryesaddle.internal.routing.placement import Placement
 from ryesaddle.internal.target.belief import TargetBelief
 from ryesaddle.internal.target.flows import TargetFlows
 from ryesaddle.internal.target.holder import Deliver, GiveBack, Hold, Holder, OfferTo
@@ -192,7 +193,7 @@
 
     def _start_processes(self, now):
         self._directories = [Directory() for _ in range(BALANCERS)]
-        self._dispatchers = [Dispatcher() for _ in range(BALANCERS)]
+        self._placements = [Placement("dc", d) for d in self._directories]
         for target in self._targets:
             node = f"side-{target.number}"
             me = Candidate(node, Address("10.0.0.1", target.number))
@@ -222,9 +223,9 @@
                 draining=False,
                 sequence=self._sequence,
             )
-            for directory, dispatcher in zip(self._directories, self._dispatchers):
+            for directory, placement in zip(self._directories, self._placements):
                 directory.hear(report, now)
-                dispatcher.heard(node)
+                placement.liveness.heard(node)
 
     def _tick(self, now, number):
         if self._is_dark(now):
@@ -277,14 +278,15 @@
         if self._is_dark(now) or self._requests[flow][2] != "opening":
             return
         number = hash(flow.caller.port) % BALANCERS
-        directory, dispatcher = self._directories[number], self._dispatchers[number]
-        load = directory.load if self._policy.by_load else None
-        found = dispatcher.route(
-            SERVICE, flow, True, directory.view(SERVICE), now, copy, load
-        )
+        directory, placement = self._directories[number], self._placements[number]
+        if self._policy.by_load:
+            found = placement.open(SERVICE, flow, copy, now)
+        else:
+            order = placement.order(SERVICE, flow, True, now)
+            found = Dispatch(order[0], "ranked") if order else Discard("none")
         if isinstance(found, Discard):
             return
-        dispatcher.placed(SERVICE, flow, found.member)
+        placement.placed(flow, found.member.node)
         directory.sent(found.member.node)
         others = found.others if self._policy.offers else ()
         carry = Carry(
@@ -320,12 +322,12 @@
 
     def _search(self, now, carry, flow, copy):
         number = carry.balancer.port
-        directory, dispatcher = self._directories[number], self._dispatchers[number]
-        view = directory.view(SERVICE)
-        found = dispatcher.search(SERVICE, flow, True, carry.asked, view, now)
-        if found is not None:
-            dispatcher.placed(SERVICE, flow, found.member)
-            args = (found.member.node, carry, flow, copy)
+        placement = self._placements[number]
+        order = placement.order(SERVICE, flow, True, now)
+        member = next((m for m in order if m.node not in carry.asked), None)
+        if member is not None:
+            placement.placed(flow, member.node)
+            args = (member.node, carry, flow, copy)
             self._push(now + 2 * HOP_S, self._at_agent, *args)
 
     def _serve_waiting(self, now, node):
--- a/src/ryesaddle/daemons/passing/agent.py
+++ b/src/ryesaddle/daemons/passing/agent.py
@@ -331,7 +331,9 @@
         else:
             self._flows.from_caller(packet, carry.payload, now)
         token = self._to_target(carry.payload, carry)
-        if decision.reason == "asked":
+        if carry.asks and decision.reason == "held":
+            self._tell_held(carry, packet.flow)
+        elif decision.reason == "asked":
             self._unconfirmed.append((now, token, carry, packet.flow))
         self._metrics.count("agent.delivered")
 
--- a/src/ryesaddle/daemons/passing/agents.py
+++ b/src/ryesaddle/daemons/passing/agents.py
@@ -21,15 +21,17 @@
         This balancer.
     messages : MessageSocket
         Carries reports.
-    directory, dispatcher : Directory, Dispatcher
-        The decisions.
+    directory : Directory
+        What is known of agents.
+    liveness : Liveness
+        Which of them owe a sign of life.
     """
 
-    def __init__(self, entry, messages, directory, dispatcher):
+    def __init__(self, entry, messages, directory, liveness):
         self._entry = entry
         self._messages = messages
         self._directory = directory
-        self._dispatcher = dispatcher
+        self._liveness = liveness
         messages.on(Report, self._on_report)
 
     def digest(self):
@@ -91,7 +93,7 @@
         hello = Hello(self._entry.node, self._entry.address)
         while True:
             await asyncio.sleep(PROBE_S)
-            for node in self._dispatcher.to_probe(self._now()):
+            for node in self._liveness.to_probe(self._now()):
                 member = self._directory.find(node)
                 if member is not None:
                     self._messages.send(member.address, hello)
@@ -104,7 +106,7 @@
             draining = known.draining if known else False
             ack = ReportAck(self._entry.node, report.incarnation, target, draining)
             self._messages.send(report.address, ack)
-        self._dispatcher.heard(report.node)
+        self._liveness.heard(report.node)
         change = self._directory.hear(report, now)
         if change is not None:
             event(
--- a/src/ryesaddle/daemons/passing/balancer.py
+++ b/src/ryesaddle/daemons/passing/balancer.py
@@ -3,12 +3,10 @@
 import asyncio
 import logging
 
-import msgspec
-
 from ryesaddle.internal.log import event
-from ryesaddle.internal.routing.dispatcher import Discard
+from ryesaddle.internal.routing.dispatcher import Discard, Dispatch
 from ryesaddle.internal.routing.packet import Flow
-from ryesaddle.internal.routing.search import Searches
+from ryesaddle.internal.routing.search import Ask, Nowhere, Searches, Unknown
 from ryesaddle.internal.wire.passing import Candidate, Carry, Held, Return
 
 log = logging.getLogger(__name__)
@@ -25,7 +23,7 @@
         Settings of the process.
     packets : PacketProtocol
         Reads and builds packets.
-    dispatcher, directory : Dispatcher, Directory
+    placement, directory : Placement, Directory
         The decisions.
     follower : RouteFollower
         The configuration.
@@ -46,7 +44,7 @@
         self,
         settings,
         packets,
-        dispatcher,
+        placement,
         directory,
         follower,
         messages,
@@ -55,7 +53,7 @@
     ):
         self._settings = settings
         self._packets = packets
-        self._dispatcher = dispatcher
+        self._placement = placement
         self._directory = directory
         self._follower = follower
         self._messages = messages
@@ -66,6 +64,17 @@
         messages.on(Return, self._on_return)
         messages.on(Held, self._on_held)
 
+    async def run(self):
+        """Continue searches whose agent does not answer, until cancelled."""
+        while True:
+            await asyncio.sleep(CONTINUE_S)
+            self.continue_searches()
+
+    def continue_searches(self):
+        """Ask the next agent for each flow whose agent has not answered."""
+        for flow in self._searches.overdue(self._now()):
+            self._ask_next(flow)
+
     def on_caller_packet(self, data, addr):
         """Take a datagram of a caller."""
         self.received_at = self._now()
@@ -80,51 +89,37 @@
         if route is None:
             self._reset(packet, "no-route")
             return
-        self._dispatch(packet, route, data)
-
-    def _dispatch(self, packet, route, data):
         service = route.services(packet.flow)[0]
-        decision = self._dispatcher.route(
-            service,
-            packet.flow,
-            packet.opens,
-            self._directory.view(service),
-            self._now(),
-            packet.copy,
-            self._directory.load,
-            self._lives,
-        )
-        if isinstance(decision, Discard):
-            self._drop(packet, decision.reason)
-            return
-        carry = Carry(
-            service=service,
-            balancer=self._settings.peer,
-            payload=data,
-            candidates=tuple(Candidate(m.node, m.address) for m in decision.others),
-            priority=route.priority,
-            objective_ms=round(route.objective_s * 1000),
-            timeout_ms=round(route.timeout_s * 1000),
-        )
-        self._send(decision, carry, packet)
-        if decision.reason == "cached" and self._dispatcher.is_suspect(
-            decision.member, self._now()
-        ):
-            # It may be dark, or the flow may never have been there.
-            asked = (decision.member.node,)
-            self._search(msgspec.structs.replace(carry, asked=asked), packet)
-
-    def _send(self, decision, carry, packet):
-        member = decision.member
-        self._messages.send(member.address, carry)
-        self._metrics.count("balancer.forwarded")
-        if decision.reason == "cached":
-            return
-        self._dispatcher.placed(carry.service, packet.flow, member)
         if packet.opens:
-            self._directory.sent(member.node)
+            self._open(packet, data, service, route)
         else:
-            self._searches.asked(packet, carry, member.node, self._now())
+            self._forward(packet, data, service)
+
+    # New flows
+
+    def _open(self, packet, data, service, route):
+        flow, now = packet.flow, self._now()
+        match self._placement.open(service, flow, packet.copy, now):
+            case Discard(reason=reason):
+                self._drop(packet, reason)
+            case Dispatch(member=member, reason=reason, others=others):
+                carry = Carry(
+                    service=service,
+                    balancer=self._settings.peer,
+                    payload=data,
+                    candidates=tuple(Candidate(m.node, m.address) for m in others),
+                    priority=route.priority,
+                    objective_ms=round(route.objective_s * 1000),
+                    timeout_ms=round(route.timeout_s * 1000),
+                )
+                self._place(packet, carry, member, reason)
+
+    def _place(self, packet, carry, member, reason):
+        self._messages.send(member.address, carry)
+        self._metrics.count("balancer.opened")
+        self._placement.placed(packet.flow, member.node)
+        if reason != "cached":
+            self._directory.sent(member.node)
         event(
             log,
             "route",
@@ -133,71 +128,101 @@
             service=carry.service,
             agent=member.node,
             target=member.target,
-            reason=decision.reason,
+            reason=reason,
             load=round(self._directory.load(member), 2),
-            asked=len(carry.asked),
             configuration=self._follower.version,
         )
 
-    async def run(self):
-        """Continue searches whose agent does not answer, until cancelled."""
-        while True:
-            await asyncio.sleep(CONTINUE_S)
-            self.continue_searches()
+    def _place_again(self, packet, carry):
+        """Offer a new flow to an agent that has not returned it."""
+        order = self._placement.order(carry.service, packet.flow, True, self._now())
+        member = next((m for m in order if m.node not in carry.asked), None)
+        if member is None:
+            self._drop(packet, "no-open-member")
+        else:
+            self._place(packet, carry, member, "returned")
 
-    def continue_searches(self):
-        """Ask the next agent for each flow whose agent has not answered."""
-        for search in self._searches.overdue(self._now()):
-            asked = (*search.carry.asked, search.node)
-            carry = msgspec.structs.replace(search.carry, asked=asked, unsure=True)
-            self._search(carry, search.packet)
+    # Open flows
+
+    def _forward(self, packet, data, service):
+        now = self._now()
+        member = self._placement.find(service, packet.flow)
+        if member is not None:
+            self._send(member, service, data)
+            if self._placement.is_alive(member, now):
+                return
+            # It may be dark, or the flow may never have been there.
+            self._searches.add(packet, data, service, now)
+            self._searches.refused(packet.flow, member.node)
+            self._ask_next(packet.flow)
+        elif self._searches.add(packet, data, service, now):
+            self._ask_next(packet.flow)
+
+    def _send(self, member, service, data, asks=False):
+        carry = Carry(service, self._settings.peer, data, asks=asks)
+        self._messages.send(member.address, carry)
+        self._placement.liveness.expect(member.node, self._now())
+        self._metrics.count("balancer.forwarded")
+
+    def _ask_next(self, flow):
+        now = self._now()
+        search = self._searches[flow]
+        waiting = search.packets[0] if search.packets else None
+        if waiting is None:
+            return
+        members = self._placement.order(search.service, flow, False, now)
+        match self._searches.next(flow, members, self._directory.complete, now):
+            case Ask(node=node, number=number):
+                member = self._directory.find(node)
+                self._send(member, search.service, waiting.payload, asks=True)
+                self._metrics.count("balancer.asked")
+                event(
+                    log,
+                    "ask",
+                    flow=flow,
+                    agent=node,
+                    target=member.target,
+                    number=number,
+                    of=len(members),
+                )
+            case Nowhere():
+                self._placement.forget(flow)
+                self._reset(waiting.packet, "held-nowhere")
+            case Unknown(reason=reason):
+                self._placement.forget(flow)
+                self._drop(waiting.packet, reason)
 
     def _on_return(self, msg, addr):
-        self._dispatcher.heard(msg.node)
-        packet = self._packets.read_caller(msg.carry.payload)
+        self._placement.liveness.heard(msg.node)
+        self._metrics.count(f"balancer.returned.{msg.reason}")
+        carry = msg.carry
+        packet = self._packets.read_caller(carry.payload)
         if packet is None:
             self._metrics.count("balancer.malformed")
-            return
-        self._metrics.count(f"balancer.returned.{msg.reason}")
-        self._searches.answered(packet.flow)
-        self._search(msg.carry, packet)
-
-    def _search(self, carry, packet):
-        now = self._now()
-        view = self._directory.view(carry.service)
-        found = None
-        if view is not None:
-            found = self._dispatcher.search(
-                carry.service,
-                packet.flow,
-                packet.opens,
-                carry.asked,
-                view,
-                now,
-                self._lives,
-            )
-        if found is not None:
-            self._send(found, carry, packet)
         elif packet.opens:
-            self._drop(packet, "no-open-member")
-        elif not carry.unsure and self._directory.is_settled(
-            carry.service, carry.asked
-        ):
-            self._reset(packet, "held-nowhere")
+            self._place_again(packet, carry)
         else:
-            self._dispatcher.forget_flow(carry.service, packet.flow)
-            self._drop(packet, "holder-unknown")
-
-    def _lives(self, member):
-        return self._directory.lives(member.node, self._now())
+            self._placement.forget(packet.flow)
+            if packet.flow not in self._searches:
+                now = self._now()
+                self._searches.add(packet, carry.payload, carry.service, now)
+            if self._searches.refused(packet.flow, msg.node):
+                self._ask_next(packet.flow)
 
     def _on_held(self, msg, addr):
-        self._dispatcher.heard(msg.node)
+        self._placement.liveness.heard(msg.node)
+        flow = Flow(msg.caller, msg.front)
         member = self._directory.find(msg.node)
-        if member is not None:
-            flow = Flow(msg.caller, msg.front)
-            self._searches.answered(flow)
-            self._dispatcher.placed(msg.service, flow, member)
+        search = self._searches.held(flow)
+        if member is None:
+            return
+        self._placement.placed(flow, msg.node)
+        if search is None:
+            return
+        event(log, "found", flow=flow, agent=msg.node, asked=len(search.asked))
+        # The first of them is what the agent was asked with.
+        for waiting in search.packets[1:]:
+            self._send(member, search.service, waiting.payload)
 
     def _reset(self, packet, reason):
         if packet.resets:
--- a/src/ryesaddle/daemons/passing/run_balancer.py
+++ b/src/ryesaddle/daemons/passing/run_balancer.py
@@ -27,7 +27,7 @@
 from ryesaddle.internal.log import event, set_up_logging, warn
 from ryesaddle.internal.membership.directory import Directory, TargetEntry
 from ryesaddle.internal.metrics import Metrics
-from ryesaddle.internal.routing.dispatcher import Dispatcher
+from ryesaddle.internal.routing.placement import Placement
 from ryesaddle.internal.store.client import StoreClient
 
 log = logging.getLogger(__name__)
@@ -66,7 +66,8 @@
     rng = random.Random(incarnation)
     metrics = Metrics()
     store = StoreClient(api, rng, metrics=metrics)
-    directory, dispatcher = Directory(), Dispatcher()
+    directory = Directory()
+    placement = Placement(settings.data_centre, directory)
     me = BalancerEntry(
         node=settings.node,
         data_centre=settings.data_centre,
@@ -76,10 +77,10 @@
     messages = MessageSocket(bind_udp(settings.peer), metrics)
     callers = PacketSocket(lambda data, addr: balancer.on_caller_packet(data, addr))
     follower = RouteFollower(settings.node, lambda: read_routes(store))
-    agents = Agents(me, messages, directory, dispatcher)
+    agents = Agents(me, messages, directory, placement.liveness)
     peers = Peers(me, incarnation, messages, follower, agents)
     balancer = PassingBalancer(
-        settings, packets, dispatcher, directory, follower, messages, callers, metrics
+        settings, packets, placement, directory, follower, messages, callers, metrics
     )
     keeper = EntryKeeper(store, BALANCERS, settings.node, rng)
 
@@ -89,7 +90,7 @@
             "role": "balancer",
             "configuration": follower.version,
             "store_read_age_s": round(follower.read_age_s(loop.time()), 1),
-            "flows": len(dispatcher),
+            "flows": len(placement),
             "agents": len(directory),
             "open_agents": directory.count_open(),
             "balancers": len(peers.live()) + 1,
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -42,6 +42,7 @@
     member: Member
     open: bool
     slots: int
+    incarnation: int = 0
     load: float = 0.0
     sequence: int = 0
     sent: int = 0
@@ -111,7 +112,8 @@
             return "gone"
         member = Member(
             node=report.node,
-            incarnation=report.incarnation,
+            # Flows are at the target, so another run of the agent is the same.
+            incarnation=0,
             address=report.address,
             control=report.address,
             data_centre=report.data_centre,
@@ -123,6 +125,7 @@
             member,
             report.open,
             report.slots,
+            report.incarnation,
             report.load,
             report.sequence,
             known_at=now,
@@ -196,19 +199,13 @@
             self.remove(member.node)
         return silent
 
-    def is_settled(self, service, asked):
-        """Whether no agent of a service but those in ``asked`` can hold a flow."""
-        view = self.view(service)
-        members = view.members if view is not None else ()
-        return self.complete and all(m.node in asked for m in members)
-
     def _is_old(self, report, held):
         if report.incarnation <= self._gone.get(report.node, -1):
             return True
         if held is None or held.heard_at is None:
             return False
         age = (report.incarnation, report.sequence)
-        return age <= (held.member.incarnation, held.sequence)
+        return age <= (held.incarnation, held.sequence)
 
     def _forget_views(self, held, member):
         self._version += 1
--- a/src/ryesaddle/internal/wire/passing.py
+++ b/src/ryesaddle/internal/wire/passing.py
@@ -38,8 +38,8 @@
         Load of ``best``.
     settled : bool
         Whether the flow has been offered round and belongs here.
-    unsure : bool
-        Whether one of the asked has not answered, so that it may hold the flow.
+    asks : bool
+        Whether the balancer wants to know if the agent holds the flow.
     priority : int
         Urgency; 0 is the highest.
     objective_ms, timeout_ms : int
@@ -54,7 +54,7 @@
     best: Candidate | None = None
     best_load: float = 0.0
     settled: bool = False
-    unsure: bool = False
+    asks: bool = False
     priority: int = 9
     objective_ms: int = 0
     timeout_ms: int = 0
--- a/tests/membership/test_directory.py
+++ b/tests/membership/test_directory.py
@@ -133,14 +133,6 @@
             view = directory.view("case-desk")
             self.assertEqual(view.is_open(view.members[0]), newest.open)
 
-    def test_settled_needs_a_complete_list_and_every_answer(self):
-        for node in ("a", "b"):
-            self.directory.hear(report(node), 0.0)
-        self.assertFalse(self.directory.is_settled("case-desk", ("a", "b")))
-        self.directory.complete = True
-        self.assertFalse(self.directory.is_settled("case-desk", ("a",)))
-        self.assertTrue(self.directory.is_settled("case-desk", ("a", "b")))
-
     def test_messages_keep_their_fields_through_the_codec(self):
         data = msgspec.msgpack.encode(report(gone=True))
         self.assertEqual(msgspec.msgpack.decode(data, type=Report), report(gone=True))
--- a/tests/routing/test_passing.py
+++ b/tests/routing/test_passing.py
@@ -13,10 +13,9 @@
 )
 
 from ryesaddle.internal.address import Address
-from ryesaddle.internal.membership.directory import Directory
 from ryesaddle.internal.membership.introduction import LIMIT_S, Introduction
 from ryesaddle.internal.routing.packet import Flow
-from ryesaddle.internal.routing.search import ANSWER_S
+from ryesaddle.internal.routing.search import ANSWER_S, Searches
 from ryesaddle.internal.target.belief import TargetBelief
 from ryesaddle.internal.target.holder import AHEAD
 from tests.support.packets import returned
@@ -297,7 +296,11 @@
         self.assertEqual(world.send(2, flow.caller), ([], []))
 
     def test_resetting_without_having_listed_all_is_noticed(self):
-        settled = mock.patch.object(Directory, "is_settled", lambda *args: True)
+        def next(self, flow, members, complete, now):
+            return told(self, flow, members, True, now)
+
+        told = Searches.next
+        settled = mock.patch.object(Searches, "next", next)
         with settled, self.assertRaises(AssertionError):
             self.test_a_balancer_that_has_not_listed_all_resets_nothing()
 
--- a/tests/support/passing.py
+++ b/tests/support/passing.py
@@ -13,7 +13,7 @@
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.membership.directory import Directory
 from ryesaddle.internal.metrics import Metrics
-from ryesaddle.internal.routing.dispatcher import Dispatcher
+from ryesaddle.internal.routing.placement import Placement
 from ryesaddle.internal.routing.route import Route, RouteTable, Share
 from ryesaddle.internal.target.belief import TargetBelief
 from ryesaddle.internal.target.flows import TargetFlows
@@ -172,12 +172,13 @@
             node=node, data_centre="dc", address=address, control=address
         )
         messages = FakeMessages(self, address)
-        directory, dispatcher = Directory(), Dispatcher()
-        agents = Agents(entry, messages, directory, dispatcher)
+        directory = Directory()
+        placement = Placement("dc", directory)
+        agents = Agents(entry, messages, directory, placement.liveness)
         balancer = PassingBalancer(
             settings,
             PlatformPackets(),
-            dispatcher,
+            placement,
             directory,
             FakeFollower(),
             messages,
