Check all files at once, and let operators ask for status and flows on the platform

check takes folders and settings files and reports the problems of all of them; a file that is not UTF-8 hid those of others. status and trace work with "api": "platform"; trace takes the caller's address, since request ids lie in bytes that are not read there.

--- a/src/ryesaddle/cli/main.py
+++ b/src/ryesaddle/cli/main.py
@@ -1,9 +1,12 @@
 """The ``ryesaddle`` command."""
 
 import asyncio
+import random
+import re
 import sys
 from pathlib import Path
 from typing import Annotated
+from urllib.parse import urlsplit
 
 import cyclopts
 import msgspec
@@ -11,13 +14,18 @@
 from cyclopts import Parameter
 
 import ryesaddle
+from ryesaddle.cli.checks import check_paths
 from ryesaddle.cli.operator import OperatorClient, read_seen
-from ryesaddle.cli.report import status_lines, trace_lines
+from ryesaddle.cli.passing_operator import PassingOperator
+from ryesaddle.cli.report import flow_lines, status_lines, trace_lines
 from ryesaddle.daemons.agent import run_agent
 from ryesaddle.daemons.balancer import run_balancer
 from ryesaddle.errors import FolderError, RyesaddleError, SettingsError
+from ryesaddle.internal.address import Address
 from ryesaddle.internal.config.change import compare
 from ryesaddle.internal.config.folder import merge, read_folder
+from ryesaddle.internal.store.client import StoreClient
+from ryesaddle.platform.objects import PlatformObjects
 from ryesaddle.settings import (
     AgentSettings,
     BalancerSettings,
@@ -28,6 +36,7 @@
 EXIT_OK = 0
 EXIT_DIFFERENT = 1
 EXIT_ERROR = 2
+CALLER = re.compile(r"[0-9.]+:[0-9]+")
 
 app = cyclopts.App(
     name="ryesaddle",
@@ -73,16 +82,18 @@
 
 
 @app.command
-def check(folder: Path):
-    """Check all files of a configuration folder; nothing is changed.
+def check(*paths: Path):
+    """Check configuration folders and settings files; nothing is changed.
 
     Parameters
     ----------
-    folder
-        The configuration folder.
+    paths
+        Configuration folders, and settings files of any process.
     """
-    cfg = merge(read_folder(folder))
-    print(f"{folder}: {len(cfg.services)} services, {len(cfg.rules)} rules: good")
+    if not paths:
+        raise FolderError(["nothing to check; name a folder or a settings file"])
+    for line in check_paths(paths):
+        print(line)
     return EXIT_OK
 
 
@@ -169,7 +180,11 @@
 @app.command
 def status(*, operator: OperatorFile, as_json: AsJson = False):
     """Show every member: its role, configuration, flows and load."""
-    found = asyncio.run(_with_operator(operator, lambda op: op.status()))
+    settings = _operator_settings(operator)
+    if settings.api == "platform":
+        found = asyncio.run(_on_platform(settings, lambda op: op.status()))
+    else:
+        found = asyncio.run(_with_operator(operator, lambda op: op.status()))
     if as_json:
         print(msgspec.json.encode(found).decode())
     else:
@@ -184,8 +199,12 @@
     Parameters
     ----------
     request_id
-        Value of X-Request-ID of the request.
+        Value of X-Request-ID of the request. On the platform, the caller's address
+        and port, HOST:PORT.
     """
+    settings = _operator_settings(operator)
+    if settings.api == "platform":
+        return _trace_flow(settings, request_id, as_json)
     found = asyncio.run(_with_operator(operator, lambda op: op.trace(request_id)))
     if as_json:
         print(msgspec.json.encode(found).decode())
@@ -207,9 +226,41 @@
     sys.exit(code if isinstance(code, int) else EXIT_OK)
 
 
-async def _with_operator(path, command):
+def _trace_flow(settings, caller, as_json):
+    if not CALLER.fullmatch(caller):
+        raise SettingsError(
+            f"{caller}: request ids lie in bytes that ryesaddle does not read here; "
+            "take the caller's address and port from the target's access log and "
+            "trace HOST:PORT"
+        )
+    found = asyncio.run(_on_platform(settings, lambda op: op.trace(caller)))
+    if as_json:
+        print(msgspec.json.encode(found).decode())
+    else:
+        print("\n".join(flow_lines(caller, found)))
+    return EXIT_OK if any(found.values()) else EXIT_DIFFERENT
+
+
+def _operator_settings(path):
     settings = load_settings(path, OperatorSettings)
     if not settings.store_url.startswith(("http://", "https://")):
         raise SettingsError(f"{path}: store_url must begin with http:// or https://")
+    return settings
+
+
+async def _on_platform(settings, command):
+    url = urlsplit(settings.store_url)
+    address = Address(url.hostname, url.port or 80)
+    api = PlatformObjects(lambda: address)
+    return await command(PassingOperator(StoreClient(api, random.Random())))
+
+
+async def _with_operator(path, command):
+    settings = _operator_settings(path)
+    if settings.api == "platform":
+        raise SettingsError(
+            f"{path}: the platform's operator changes its configuration there; use "
+            "status and trace here"
+        )
     async with OperatorClient(settings) as operator:
         return await command(operator)
--- a/src/ryesaddle/cli/report.py
+++ b/src/ryesaddle/cli/report.py
@@ -35,12 +35,30 @@
         yield f"  agent {node} did not answer; its records are missing here"
 
 
+def flow_lines(caller, found):
+    """Yield the lines that tell where a caller's flows were passed."""
+    known = {node: flows for node, flows in sorted(found.items()) if flows}
+    if not known:
+        yield f"caller {caller}: no process remembers a flow of it"
+    for node, flows in known.items():
+        for flow in flows:
+            pairs = (f"{key}={value}" for key, value in flow.items())
+            yield f"{node}: " + " ".join(pairs)
+    for node, flows in sorted(found.items()):
+        if flows is None:
+            yield f"{node} did not answer; what it knows is missing here"
+
+
 def status_lines(found):
     """Yield one line for each member."""
     for node, status in sorted(found.items()):
         if status is None:
             yield f"{node}: no answer"
             continue
+        if "leads" not in status:
+            shown = {k: v for k, v in status.items() if k not in ("node", "counts")}
+            yield f"{node}: " + " ".join(f"{k}={v}" for k, v in shown.items())
+            continue
         line = f"{node}: {status['role']} config={status['config']}"
         line += f" flows={status['flows']} leads={'yes' if status['leads'] else 'no'}"
         if status["role"] == "agent":
--- a/src/ryesaddle/daemons/passing/admin.py
+++ b/src/ryesaddle/daemons/passing/admin.py
@@ -9,11 +9,12 @@
 
 METRICS_PATH = "/metrics"
 STATUS_PATH = "/status"
+FLOWS_PATH = "/flows/"
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
 class Admin:
-    """Answers `STATUS_PATH` and `METRICS_PATH`.
+    """Answers `STATUS_PATH`, `FLOWS_PATH` and `METRICS_PATH`.
 
     Parameters
     ----------
@@ -21,17 +22,24 @@
         The figures of the process.
     status : callable
         Returns a dict of what else is to be told.
+    describe : callable
+        Takes ``HOST:PORT`` of a caller, returns a list of dicts, one for each of its
+        flows that the process remembers.
     """
 
-    def __init__(self, metrics, status):
+    def __init__(self, metrics, status, describe):
         self._metrics = metrics
         self._status = status
+        self._describe = describe
 
     def answer(self, req):
         """Return the reply to a request, a future of it, or None for other paths."""
         if req.path == STATUS_PATH:
             body = {**self._status(), "counts": dict(self._metrics.counts)}
             return HttpReply(200, msgspec.json.encode(body))
+        if req.path.startswith(FLOWS_PATH):
+            found = self._describe(req.path[len(FLOWS_PATH) :])
+            return HttpReply(200, msgspec.json.encode(found))
         if req.path == METRICS_PATH:
             return asyncio.ensure_future(self._expose())
         return None
--- a/src/ryesaddle/daemons/passing/agent.py
+++ b/src/ryesaddle/daemons/passing/agent.py
@@ -272,6 +272,7 @@
                 service=self._settings.service,
                 data_centre=self._settings.data_centre,
                 address=self._settings.peer,
+                control=self._settings.control,
                 target=self._belief.target,
                 draining=self._belief.draining,
             )
--- a/src/ryesaddle/daemons/passing/http.py
+++ b/src/ryesaddle/daemons/passing/http.py
@@ -252,6 +252,8 @@
         self._body, self._size = [], 0
         self.sent = False
         self.reply = asyncio.get_running_loop().create_future()
+        # A call that has timed out does not look at it any more.
+        self.reply.add_done_callback(lambda done: done.cancelled() or done.exception())
 
     def connection_made(self, transport):
         self.sent = True
--- a/src/ryesaddle/daemons/passing/run_agent.py
+++ b/src/ryesaddle/daemons/passing/run_agent.py
@@ -110,7 +110,7 @@
             "store_calls": store.calls,
         }
 
-    admin = Admin(metrics, status)
+    admin = Admin(metrics, status, lambda caller: flows.describe(caller, loop.time()))
 
     def handle(req):
         if req.path == ready_path:
--- a/src/ryesaddle/daemons/passing/run_balancer.py
+++ b/src/ryesaddle/daemons/passing/run_balancer.py
@@ -98,7 +98,7 @@
             "leaving": peers.leaving,
         }
 
-    admin = Admin(metrics, status)
+    admin = Admin(metrics, status, placement.describe)
 
     def handle(req):
         if req.path == ready_path:
--- a/src/ryesaddle/internal/config/folder.py
+++ b/src/ryesaddle/internal/config/folder.py
@@ -30,6 +30,31 @@
     FolderError
         If the folder or one of its files cannot be read.
     """
+    files, problems = _read_files(path)
+    if problems:
+        raise FolderError(problems)
+    return files
+
+
+def check_folder(path):
+    """Return the merged `Configuration` of a folder.
+
+    Raises
+    ------
+    FolderError
+        With the problems of all files, those that cannot be read included.
+    """
+    files, problems = _read_files(path)
+    try:
+        cfg = merge(files)
+    except FolderError as exc:
+        problems += exc.problems
+    if problems:
+        raise FolderError(sorted(problems))
+    return cfg
+
+
+def _read_files(path):
     folder = Path(path)
     if not folder.is_dir():
         raise FolderError([f"{folder}: not a folder; name the configuration folder"])
@@ -41,9 +66,7 @@
             files[file.name] = file.read_text(encoding="utf-8")
         except (OSError, UnicodeDecodeError) as exc:
             problems.append(f"{file.name}: cannot be read ({exc}); save it as UTF-8")
-    if problems:
-        raise FolderError(problems)
-    return files
+    return files, problems
 
 
 def merge(files, generation=0):
--- a/src/ryesaddle/internal/log.py
+++ b/src/ryesaddle/internal/log.py
@@ -127,7 +127,7 @@
     def emit(self, record):
         """Buffer one record."""
         self.lines.put(self.format(record), record.created)
-        if self._loop is None:
+        if self._loop is None or self._loop.is_closed():
             self.flush()
         elif not self._flushing:
             self._flushing = True
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -28,12 +28,15 @@
         Identifier of the target.
     draining : bool
         Whether the target is about to stop.
+    control : Address or None
+        Where it serves HTTP calls, if that is known.
     """
 
     node: str
     service: str
     data_centre: str
     address: Address
+    control: Address | None = None
     target: str = ""
     draining: bool = False
 
--- a/src/ryesaddle/internal/routing/memory.py
+++ b/src/ryesaddle/internal/routing/memory.py
@@ -34,6 +34,10 @@
         """Return the agent of a flow, or None."""
         return self._agents.get(flow)
 
+    def items(self):
+        """Return all (flow, agent) pairs."""
+        return self._agents.items()
+
     def drop(self, flow):
         """Forget a flow."""
         self._agents.pop(flow, None)
--- a/src/ryesaddle/internal/routing/placement.py
+++ b/src/ryesaddle/internal/routing/placement.py
@@ -48,6 +48,14 @@
         """Forget the agent of a flow."""
         self._flows.drop(flow)
 
+    def describe(self, caller):
+        """Return what is known of a caller's flows, one dict for each."""
+        return [
+            {"flow": str(flow), "sent_to": node}
+            for flow, node in self._flows.items()
+            if str(flow.caller) == caller
+        ]
+
     def open(self, service, flow, copy, now):
         """Return a `Dispatch` or `Discard` for a packet that opens a flow.
 
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -31,6 +31,7 @@
 class _Record:
     __slots__ = (
         "active_at",
+        "answers",
         "at_work",
         "confirmed",
         "ended",
@@ -43,6 +44,7 @@
 
     def __init__(self, now, opening, work_s):
         self.active_at = now
+        self.answers = 0
         self.at_work = True
         self.confirmed = False
         self.ended = False
@@ -160,6 +162,7 @@
         taken_s = now - record.worked_at
         is_served = (packet.has_data or packet.ends) and record.at_work
         if is_served:
+            record.answers += 1
             self.service_s += SMOOTHING * (taken_s - self.service_s)
             self._opening.pop(packet.flow, None)
             self._work(record, False)
@@ -205,6 +208,21 @@
         """Return the last packet of each flow whose caller waits for the target."""
         return [r.payload for r in self._flows.values() if r.at_work and r.payload]
 
+    def describe(self, caller, now):
+        """Return what was seen of a caller's flows, one dict for each."""
+        return [
+            {
+                "flow": str(flow),
+                "opened": record.confirmed,
+                "waits_for_answer": record.at_work,
+                "answers_begun": record.answers,
+                "ended_by_target": record.ended,
+                "last_packet_s_ago": round(now - record.active_at, 3),
+            }
+            for flow, record in self._flows.items()
+            if str(flow.caller) == caller
+        ]
+
     def quiet_s(self, now):
         """Return the time since the last packet of any flow, in seconds."""
         if not self._flows:
--- a/src/ryesaddle/settings.py
+++ b/src/ryesaddle/settings.py
@@ -2,6 +2,7 @@
 
 import stat
 from pathlib import Path
+from typing import Literal
 
 import msgspec
 
@@ -91,11 +92,14 @@
     store_url : str
         Base URL of the object API.
     peer_key_file : str
-        File with the secret shared by all members.
+        File with the secret shared by all members; not needed on the platform.
+    api : str
+        ``kubernetes``, or ``platform`` for the users' metadata store.
     """
 
     store_url: str
-    peer_key_file: str
+    peer_key_file: str = ""
+    api: Literal["kubernetes", "platform"] = "kubernetes"
 
 
 def load_settings(path, kind):
@@ -153,6 +157,8 @@
 
 
 def _check_files(path, settings):
+    if isinstance(settings, OperatorSettings) and settings.api == "platform":
+        return
     try:
         read_peer_key(settings.peer_key_file)
         if isinstance(settings, AgentSettings):
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -11,6 +11,7 @@
 from ryesaddle.errors import SettingsError
 from ryesaddle.settings import AgentSettings, BalancerSettings, load_settings
 from tests.support.certificates import write_certificate
+from tests.support.template import render, settings_of
 
 
 class CommandCase(unittest.TestCase):
@@ -136,3 +137,75 @@
         code, out, err = self.run_command("apply", self.folder, "--operator", operator)
         self.assertEqual((code, out), (2, ""))
         self.assertIn("error:", err)
+
+
+class CheckTest(CommandCase):
+    def test_all_bad_files_are_reported_at_once(self):
+        (self.folder / "10-a.json").write_bytes(b'{"kind": "service", "name": "\xff"}')
+        (self.folder / "20-b.json").write_text('{"kind": "service", "name": "b"}')
+        (self.folder / "30-c.json").write_text("{")
+        code, _, err = self.run_command("check", self.folder)
+        self.assertEqual(code, 2)
+        for words in (
+            ("10-a.json", "UTF-8"),
+            ("20-b.json", "port"),
+            ("30-c.json",),
+        ):
+            lines = [line for line in err.splitlines() if words[0] in line]
+            self.assertEqual(len(lines), 1, err)
+            for word in words:
+                self.assertIn(word, lines[0])
+
+    def test_settings_of_the_platform_are_checked(self):
+        root = Path(__file__).resolve().parents[2]
+        for role in ("balancer", "agent"):
+            text = (root / "deploy" / f"{role}.json").read_text()
+            file = self.folder / f"{role}.json"
+            file.write_text(render(text, settings_of(role)))
+            code, out, err = self.run_command("check", file)
+            self.assertEqual((code, err), (0, ""))
+            self.assertIn("good", out)
+            fields = json.loads(file.read_text())
+            del fields["peer"]
+            file.write_text(json.dumps(fields))
+            code, _, err = self.run_command("check", file)
+            self.assertEqual(code, 2)
+            self.assertIn("peer", err)
+
+    def test_several_paths_are_checked_and_all_problems_told(self):
+        bad = self.folder / "bad.json"
+        bad.write_text('{"callers": 5}')
+        code, _, err = self.run_command("check", bad, self.folder / "missing")
+        self.assertEqual(code, 2)
+        self.assertIn("bad.json", err)
+        self.assertIn("missing", err)
+
+    def test_nothing_to_check_is_said(self):
+        code, _, err = self.run_command("check")
+        self.assertEqual(code, 2)
+        self.assertIn("name a folder", err)
+
+
+class PlatformOperatorTest(CommandCase):
+    def operator(self, **changes):
+        file = self.folder / "operator.json"
+        fields = {"store_url": "http://127.0.0.1:1", "api": "platform", **changes}
+        file.write_text(json.dumps(fields))
+        return file
+
+    def test_a_request_id_is_told_how_to_become_a_flow(self):
+        code, _, err = self.run_command("trace", "req-1", "--operator", self.operator())
+        self.assertEqual(code, 2)
+        self.assertIn("access log", err)
+
+    def test_changes_of_the_configuration_are_refused(self):
+        code, _, err = self.run_command(
+            "apply", self.folder, "--operator", self.operator()
+        )
+        self.assertEqual(code, 2)
+        self.assertIn("status and trace", err)
+
+    def test_a_store_that_does_not_answer_is_named(self):
+        code, _, err = self.run_command("status", "--operator", self.operator())
+        self.assertEqual(code, 2)
+        self.assertIn("retry later", err)
--- a/tests/log/test_log.py
+++ b/tests/log/test_log.py
@@ -115,6 +115,20 @@
         os.close(reader)
         os.close(writer)
 
+    def test_a_line_after_the_end_of_the_loop_is_written_at_once(self):
+        reader, writer = os.pipe()
+        handler = BufferedHandler(writer, LineBuffer())
+        handler.setFormatter(KeyValueFormatter("node-1"))
+
+        async def main():
+            handler.attach(asyncio.get_running_loop())
+
+        asyncio.run(main())
+        event(self.logger(handler), "last")
+        self.assertIn(b"event=last", os.read(reader, 1_000))
+        os.close(reader)
+        os.close(writer)
+
 
 class MetricsTest(unittest.TestCase):
     def test_counters_and_histograms_are_told_as_text(self):
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -1,7 +1,12 @@
 import asyncio
+import random
 import signal
 import unittest
 
+from ryesaddle.cli.passing_operator import PassingOperator
+from ryesaddle.cli.report import flow_lines
+from ryesaddle.internal.store.client import StoreClient
+from ryesaddle.platform.objects import PlatformObjects
 from tests.support.packets import ACK, SYN
 from tests.support.platform_deployment import (
     FRONTS,
@@ -69,9 +74,11 @@
 
     async def test_status_and_metrics_are_served(self):
         world = self.world
-        await world.open_flow(world.edges[0])
+        port = await world.open_flow(world.edges[0])
+        await world.ask(world.edges[0], port, b"hello")
         found = await world.status(world.edges[0])
         self.assertEqual((found["role"], found["agents"]), ("balancer", 3))
+        self.assertGreater(found["counts"]["balancer.opened"], 0)
         self.assertGreater(found["counts"]["balancer.forwarded"], 0)
         for host in (world.edges[0], world.sides[0]):
             reply = await world.get(host, "/metrics", "metrics")
@@ -79,6 +86,29 @@
             self.assertIn(b"_seconds_bucket", reply.body)
 
 
+class OperatorTest(PlatformCase):
+    async def test_status_and_trace_ask_every_process(self):
+        world = self.world
+        host, port = world.edges[0], await world.open_flow(world.edges[0])
+        await world.ask(host, port, b"hello")
+        api = PlatformObjects(lambda: world.store)
+        operator = PassingOperator(StoreClient(api, random.Random(1)))
+        await world.until(lambda: self.all_registered(operator))
+        found = await operator.status()
+        self.assertEqual(set(found), {*world.edges, *world.sides})
+        caller = f"{world.caller.address.host}:{port}"
+        traced = await operator.trace(caller)
+        holder = traced[host][0]["sent_to"]
+        self.assertEqual(traced[holder][0]["answers_begun"], 1)
+        lines = "\n".join(flow_lines(caller, traced))
+        self.assertIn(f"{holder}: flow={caller}>", lines)
+        self.assertIn("no process remembers", "\n".join(flow_lines("1.1.1.1:1", {})))
+
+    async def all_registered(self, operator):
+        found = await operator.status()
+        return len(found) == 4 and None not in found.values()
+
+
 class DrainTest(PlatformCase):
     async def test_draining_holds_through_a_kill_of_the_agent_and_of_all_others(self):
         world = self.world
