--- a/src/ryesaddle/daemons/passing/agent.py
+++ b/src/ryesaddle/daemons/passing/agent.py
@@ -178,7 +178,9 @@
         return done
 
     def _expire(self, now):
-        self._flows.expire(now, self._settings.flow_max_s)
+        for flow in self._flows.expire(now, self._settings.flow_max_s):
+            self._metrics.count("agent.unanswered")
+            event(log, "unanswered", flow=flow, target=self._belief.target)
         gone = [a for a, at in self._balancers.items() if now - at > FORGET_BALANCER_S]
         for address in gone:
             del self._balancers[address]
@@ -322,11 +324,12 @@
                 self._metrics.count(f"agent.returned.{reason}")
                 self._log_decision("give-back", packet, reason, carry.balancer)
 
-    def _deliver(self, decision, carry, packet):
+    def _deliver(self, decision, carry, packet, waited_s=0.0):
         now = self._now()
         if packet.opens:
             self._flows.opened(packet.flow, now, carry, carry.timeout_ms / 1000)
-            self._log_decision("accept", packet, decision.reason, self._belief.target)
+            target, waited_ms = self._belief.target, round(waited_s * 1000)
+            self._log_decision("accept", packet, decision.reason, target, waited_ms)
             if decision.moved:
                 self._tell_held(carry, packet.flow)
         else:
@@ -388,8 +391,9 @@
         while (found := self._holder.next(now)) is not None:
             _, item = found
             packet = self._packets.read_caller(item.carry.payload)
-            self._metrics.observe("agent.wait", now - item.arrived_at)
-            self._deliver(Deliver("waited"), item.carry, packet)
+            waited_s = now - item.arrived_at
+            self._metrics.observe("agent.wait", waited_s)
+            self._deliver(Deliver("waited"), item.carry, packet, waited_s)
         if not self._holder.is_open(now):
             for _, item in self._queue.clear():
                 packet = self._packets.read_caller(item.carry.payload)
@@ -418,6 +422,13 @@
                 self._metrics.observe("agent.open", taken_s)
             case Served(taken_s=taken_s):
                 self._metrics.observe("agent.service", taken_s)
+                event(
+                    log,
+                    "answered",
+                    flow=packet.flow,
+                    target=self._belief.target,
+                    taken_ms=round(taken_s * 1000, 1),
+                )
         self._to_caller(data, packet.flow)
         self._metrics.count("agent.answered")
         if self._queue and self._holder.has_room(self._now()):
@@ -457,7 +468,7 @@
     def _to_caller(self, data, flow):
         self._target.send(data, (flow.caller.host, self._settings.callers.port))
 
-    def _log_decision(self, name, packet, reason, to):
+    def _log_decision(self, name, packet, reason, to, waited_ms=0):
         event(
             log,
             name,
@@ -466,6 +477,7 @@
             reason=reason,
             to=to,
             load=round(self._holder.load(self._now()), 2),
+            waited_ms=waited_ms,
         )
 
     def _now(self):
--- a/src/ryesaddle/daemons/passing/follower.py
+++ b/src/ryesaddle/daemons/passing/follower.py
@@ -9,8 +9,11 @@
 
 log = logging.getLogger(__name__)
 
-READ_S = 0.8  # with gossip and a fetch, well within the 3 s for a change
-FRESH_READ_S = 2 * READ_S  # one read may fail before another balancer steps in
+# Reads within the bound for a change: one may fail, another balancer steps in for
+# the next, and gossip and a fetch follow.
+READS_IN_BOUND = 4
+MAX_READ_S = 0.8  # keeps the calls of two readers at a small share of the store's
+FRESH_READS = 2  # a read that was skipped is not yet a reason to step in
 NEVER_S = 3_600.0  # age of the last read, told to others when there was none
 
 
@@ -25,6 +28,8 @@
         This balancer.
     source : callable
         Coroutine function that returns the newest `RouteTable` of the store.
+    bound_s : float
+        Time within which a change must be in force, in seconds.
 
     Attributes
     ----------
@@ -32,9 +37,10 @@
         The configuration in force.
     """
 
-    def __init__(self, node, source):
+    def __init__(self, node, source, bound_s):
         self._source = source
-        self._turn = ReadTurn(node, FRESH_READ_S)
+        self._read_s = min(MAX_READ_S, bound_s / READS_IN_BOUND)
+        self._turn = ReadTurn(node, FRESH_READS * self._read_s)
         self._read_at = None
         self._failing = False
         self.routes = None
@@ -55,7 +61,7 @@
     async def run(self):
         """Read when it is due, until cancelled."""
         while True:
-            await asyncio.sleep(READ_S)
+            await asyncio.sleep(self._read_s)
             if self.routes is None or self._turn.is_mine(self._now()):
                 await self.read()
 
--- a/src/ryesaddle/daemons/passing/run_balancer.py
+++ b/src/ryesaddle/daemons/passing/run_balancer.py
@@ -76,7 +76,9 @@
     )
     messages = MessageSocket(bind_udp(settings.peer), metrics)
     callers = PacketSocket(lambda data, addr: balancer.on_caller_packet(data, addr))
-    follower = RouteFollower(settings.node, lambda: read_routes(store))
+    follower = RouteFollower(
+        settings.node, lambda: read_routes(store), settings.configuration_ms / 1000
+    )
     agents = Agents(me, messages, directory, placement.liveness)
     peers = Peers(me, incarnation, messages, follower, agents)
     balancer = PassingBalancer(
--- a/src/ryesaddle/internal/routing/placement.py
+++ b/src/ryesaddle/internal/routing/placement.py
@@ -1,5 +1,7 @@
 """Where a balancer sends packets whose flows the targets hold themselves."""
 
+from itertools import islice
+
 from ryesaddle.internal.routing.dispatcher import Discard, Dispatch
 from ryesaddle.internal.routing.liveness import Liveness
 from ryesaddle.internal.routing.memory import FlowMemory
@@ -75,7 +77,10 @@
             # A copy of a packet that waits there, or is on its way.
             self.liveness.expect(known.node, now)
             return Dispatch(known, "cached")
-        usable = self.order(service, flow, True, now)
+        ranked = self._ranked(service, flow, True)
+        alive = (m for m in ranked if self.is_alive(m, now))
+        # Looking at a few agents only keeps the cost of a new flow low.
+        usable = list(islice(alive, MAX_CANDIDATES * (copy + 1))) or ranked
         if not usable:
             return Discard("no-open-member")
         first = (copy * MAX_CANDIDATES) % len(usable)
@@ -101,11 +106,7 @@
         now : float
             Seconds on a monotonic clock.
         """
-        view = self._directory.view(service)
-        if view is None:
-            return []
-        members = [m for m in view.members if not opens or view.is_open(m)]
-        ranked = self._near_first(rank(flow_key(service, flow), members))
+        ranked = self._ranked(service, flow, opens)
         ranked.sort(key=lambda m: not self.is_alive(m, now))
         return ranked
 
@@ -115,6 +116,13 @@
             return False
         return self._directory.lives(member.node, now)
 
+    def _ranked(self, service, flow, opens):
+        view = self._directory.view(service)
+        if view is None:
+            return []
+        members = view.open_members if opens else view.members
+        return self._near_first(rank(flow_key(service, flow), members))
+
     def _near_first(self, ranked):
         near = [m for m in ranked if m.data_centre == self._data_centre]
         far = [m for m in ranked if m.data_centre != self._data_centre]
--- a/src/ryesaddle/internal/routing/view.py
+++ b/src/ryesaddle/internal/routing/view.py
@@ -37,6 +37,11 @@
         """The members by name."""
         return {m.node: m for m in self.members}
 
+    @cached_property
+    def open_members(self):
+        """The members that may be given new flows."""
+        return tuple(m for m in self.members if self.is_open(m))
+
     @cached_property
     def _heeds_failing(self):
         staying = [m for m in self.members if self._may_serve(m)]
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -194,15 +194,25 @@
         return openings
 
     def expire(self, now, idle_s):
-        """Forget flows that were idle for ``idle_s``, and count again."""
+        """Forget flows that were idle for ``idle_s``, and count again.
+
+        Returns
+        -------
+        list of Flow
+            Those whose request the target has not answered in its time.
+        """
         while self._flows:
             flow, record = next(iter(self._flows.items()))
             if now - record.active_at < idle_s:
                 break
             self._drop(flow)
-        for record in self._flows.values():
+        unanswered = []
+        for flow, record in self._flows.items():
             if record.at_work and now - record.worked_at > record.work_s:
                 self._work(record, False)
+                if record.confirmed:
+                    unanswered.append(flow)
+        return unanswered
 
     def waiting(self):
         """Return the last packet of each flow whose caller waits for the target."""
--- a/tests/target/test_flows.py
+++ b/tests/target/test_flows.py
@@ -74,8 +74,9 @@
 
     def test_a_lost_answer_stops_counting_when_the_request_has_timed_out(self):
         self.open_and_ask(1)
-        self.flows.expire(WORK_S + 0.1, IDLE_S)
+        self.assertEqual(self.flows.expire(WORK_S + 0.1, IDLE_S), [flow(1)])
         self.assertEqual(self.flows.at_work(WORK_S + 0.1), 0)
+        self.assertEqual(self.flows.expire(WORK_S + 0.2, IDLE_S), [])
 
     def test_lost_closing_packets_leave_nothing_behind(self):
         for number in range(500):
