Hear an agent that started again after its clock was set back

Two tests failed first. Balancers may also bind their message socket elsewhere than at peer, for proxies between processes.

--- a/src/ryesaddle/daemons/passing/run_balancer.py
+++ b/src/ryesaddle/daemons/passing/run_balancer.py
@@ -74,7 +74,7 @@
         address=settings.peer,
         control=settings.control,
     )
-    messages = MessageSocket(bind_udp(settings.peer), metrics)
+    messages = MessageSocket(bind_udp(settings.peer_listen or settings.peer), metrics)
     callers = PacketSocket(lambda data, addr: balancer.on_caller_packet(data, addr))
     follower = RouteFollower(
         settings.node, lambda: read_routes(store), settings.configuration_ms / 1000
--- a/src/ryesaddle/daemons/passing/settings.py
+++ b/src/ryesaddle/daemons/passing/settings.py
@@ -16,6 +16,7 @@
     "callers",
     "target_address",
     "outbound",
+    "peer_listen",
 )
 
 # Addresses and names that are in use as long as the process runs.
@@ -31,6 +32,7 @@
         "target_address",
         "outbound",
         "service",
+        "peer_listen",
     }
 )
 
@@ -82,9 +84,13 @@
     ----------
     configuration_ms : int
         Time within which a change must be in force, in milliseconds.
+    peer_listen : Address or None
+        Where it binds its socket for messages, if that is not ``peer``, as behind
+        a translation of addresses. An agent's is in its command line.
     """
 
     configuration_ms: int = 3_000
+    peer_listen: Address | None = None
 
 
 class PassingAgentSettings(PassingSettings, frozen=True, kw_only=True):
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -12,6 +12,9 @@
 
 HEARD_S = 0.7  # three reports are missing
 FORGET_S = 30.0  # longer than an entry of a silent agent stays in the store
+# Packets are at most so late. A smaller incarnation that is heard after it is no
+# late report: the host's clock was set back before the agent started again.
+OLD_RUN_S = 2.0
 MAX_GONE = 1_024  # agents that late entries may name; each is a name and a number
 
 
@@ -105,10 +108,10 @@
     def hear(self, report: Report, now):
         """Take a report; return what it changes, as a word for the log, or None."""
         held = self._agents.get(report.node)
-        if self._is_old(report, held):
+        if self._is_old(report, held, now):
             return None
         if report.gone:
-            self._gone[report.node] = report.incarnation
+            self._gone[report.node] = (report.incarnation, now)
             if len(self._gone) > MAX_GONE:
                 self._gone.popitem(last=False)
             self.remove(report.node)
@@ -202,13 +205,18 @@
             self.remove(member.node)
         return silent
 
-    def _is_old(self, report, held):
-        if report.incarnation <= self._gone.get(report.node, -1):
-            return True
+    def _is_old(self, report, held, now):
+        if report.node in self._gone:
+            incarnation, gone_at = self._gone[report.node]
+            if report.incarnation == incarnation:
+                return True
+            if report.incarnation < incarnation and now - gone_at < OLD_RUN_S:
+                return True
         if held is None or held.heard_at is None:
             return False
-        age = (report.incarnation, report.sequence)
-        return age <= (held.incarnation, held.sequence)
+        if report.incarnation == held.incarnation:
+            return report.sequence <= held.sequence
+        return report.incarnation < held.incarnation and now - held.heard_at < OLD_RUN_S
 
     def _forget_views(self, held, member):
         self._version += 1
--- a/tests/membership/test_directory.py
+++ b/tests/membership/test_directory.py
@@ -4,7 +4,12 @@
 from hypothesis import given, strategies as st
 
 from ryesaddle.internal.address import Address
-from ryesaddle.internal.membership.directory import FORGET_S, Directory, TargetEntry
+from ryesaddle.internal.membership.directory import (
+    FORGET_S,
+    OLD_RUN_S,
+    Directory,
+    TargetEntry,
+)
 from ryesaddle.internal.wire.passing import Report
 
 
@@ -61,6 +66,21 @@
             self.assertIsNone(self.directory.hear(late, 0.1))
         self.assertFalse(self.is_open())
 
+    def test_a_run_whose_clock_was_set_back_is_heard_again(self):
+        self.directory.hear(report(incarnation=9, sequence=5), 0.0)
+        restarted = report(incarnation=4, sequence=1, open=False)
+        self.assertIsNone(self.directory.hear(restarted, OLD_RUN_S / 2))
+        later = report(incarnation=4, sequence=2, open=False)
+        self.assertEqual(self.directory.hear(later, OLD_RUN_S + 0.1), "closed")
+
+    def test_a_run_with_its_clock_set_back_is_heard_after_the_last_one_ended(self):
+        self.directory.hear(report(incarnation=9), 0.0)
+        self.directory.hear(report(incarnation=9, sequence=2, gone=True), 0.1)
+        same = report(incarnation=9, sequence=1)
+        self.assertIsNone(self.directory.hear(same, 0.2 + OLD_RUN_S))
+        restarted = report(incarnation=4, sequence=1)
+        self.assertEqual(self.directory.hear(restarted, 0.2 + OLD_RUN_S), "appeared")
+
     def test_reports_go_before_entries(self):
         self.directory.list([entry(draining=True)], 0.0)
         self.assertFalse(self.is_open())
