Do not take a silent agent's silence for a refusal

Cause: a balancer that remembered an agent which was not heard counted it as having refused the flow, so that the refusals of all others reset a flow that its target held.

--- a/src/ryesaddle/daemons/passing/balancer.py
+++ b/src/ryesaddle/daemons/passing/balancer.py
@@ -152,9 +152,9 @@
             if self._placement.is_alive(member, now):
                 return
             # It may be dark, or the flow may never have been there.
-            self._searches.add(packet, data, service, now)
-            self._searches.refused(packet.flow, member.node)
-            self._ask_next(packet.flow)
+            if self._searches.add(packet, data, service, now):
+                self._searches.pass_over(packet.flow, member.node)
+                self._ask_next(packet.flow)
         elif self._searches.add(packet, data, service, now):
             self._ask_next(packet.flow)
 
--- a/src/ryesaddle/internal/routing/search.py
+++ b/src/ryesaddle/internal/routing/search.py
@@ -117,6 +117,15 @@
         search.node = ""
         return True
 
+    def pass_over(self, flow, node):
+        """Ask the others first: an agent was sent the packet and may be dark.
+
+        That it is silent says nothing of the flow, which its target may hold.
+        """
+        search = self._searches[flow]
+        if node not in search.asked:
+            search.silent.add(node)
+
     def held(self, flow):
         """End the search for a flow that is found; return its `Search`, or None."""
         return self._searches.pop(flow, None)
