--- a/soak/injector.py
+++ b/soak/injector.py
@@ -158,6 +158,9 @@
     # The store
 
     async def _harm_store(self, item):
+        if item.kind == "forget-history":
+            await self._deployment.store_call("POST", "/forget", {})
+            return
         self._store_faults.append(item.kind)
         await self._set_store_faults()
         await asyncio.sleep(item.for_s)
@@ -194,6 +197,10 @@
         match item.kind:
             case "target-restarts":
                 target.started()
+            case "target-restarts-same-name":
+                target.started(same_name=True)
+            case "odd-heartbeats":
+                await target.send_odd_heartbeats()
             case "target-hangs":
                 target.hangs = True
                 await asyncio.sleep(item.for_s)
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -33,6 +33,8 @@
     floors : list of int
         For each copy of its opening packet, the newest version that the balancer
         which got it had shown.
+    answered_syn : bool
+        Whether the caller has sent more than opening packets.
     opened_at : tuple or None
         Target and its start at which it opened.
     was_reset : bool
@@ -41,6 +43,7 @@
 
     service: str
     floors: list[int]
+    answered_syn: bool = False
     opened_at: tuple[str, int] | None = None
     was_reset: bool = False
 
@@ -99,10 +102,9 @@
         if self._services.get(front) != service:
             self._broken(now, "route", f"{target} of {service} got a flow of {front}")
         drained_at = self._draining.get(target)
-        if flags_of(data) & SYN and drained_at is not None:
-            if now - drained_at > DRAIN_S:
-                late = now - drained_at
-                self._broken(now, "drain", f"{target} took {caller} {late:.1f} s late")
+        late_s = 0.0 if drained_at is None else now - drained_at
+        if flags_of(data) & SYN and late_s > DRAIN_S:
+            self._broken(now, "drain", f"{target} took {caller} {late_s:.1f} s late")
 
     def opened(self, target, caller):
         """Note that a flow is open at a target: it has the end of the handshake."""
@@ -119,6 +121,8 @@
             flow = self.flows[caller] = Flow(self._services[front], [])
         if flags_of(data) & SYN:
             flow.floors.append(self._shown.get(balancer, 0))
+        else:
+            flow.answered_syn = True
 
     def caller_received(self, data, source, now):
         """Check a packet that arrived at a caller."""
@@ -138,7 +142,8 @@
     def _check_reset(self, flow, caller, source, now):
         flow.was_reset = True
         if flow.opened_at is None:
-            if source in self._shown:
+            # Later packets are also reset because no target holds their flow.
+            if source in self._shown and not flow.answered_syn:
                 self._check_version(flow, source, False, f"{caller} was reset", now)
             return
         target, start = flow.opened_at
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -8,11 +8,27 @@
 MIN_GAP_S, MAX_GAP_S = 0.2, 1.6  # so that faults come in series and overlap
 MIN_FOR_S, MAX_FOR_S = 0.3, 3.0
 
+CALLERS = "callers"  # their end of a link, as if they were one host
+
 PROCESS_FAULTS = ("kill", "pause", "stop", "hang-up")
 LINK_FAULTS = ("cut", "cut-one-way", "delay", "lose")
-STORE_FAULTS = ("down", "throttle", "reset", "silent", "lose-answers", "late")
+STORE_FAULTS = (
+    "down",
+    "throttle",
+    "reset",
+    "silent",
+    "lose-answers",
+    "late",
+    "forget-history",
+)
 STORE_LINK_FAULTS = ("store-cut", "store-silent", "store-delay")
-TARGET_FAULTS = ("target-restarts", "target-drains", "target-hangs")
+TARGET_FAULTS = (
+    "target-restarts",
+    "target-restarts-same-name",
+    "target-drains",
+    "target-hangs",
+    "odd-heartbeats",
+)
 CHANGES = ("drop-route", "add-route")
 GROUPS = (
     PROCESS_FAULTS,
@@ -81,7 +97,7 @@
     if kind in TARGET_FAULTS:
         return (rng.choice(sides),)
     if kind in LINK_FAULTS:
-        return tuple(rng.sample((*edges, *sides), 2))
+        return tuple(rng.sample((*edges, *sides, CALLERS), 2))
     if kind in PROCESS_FAULTS:
         # Now and then all of a role at once.
         group = rng.choice((edges, sides))
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import itertools
+import json
 import random
+import time
 
 from soak.ledger import Ledger
 from tests.support.packets import (
@@ -32,18 +34,18 @@
         self._ledger = ledger
         self._numbers = itertools.count(random.Random(name).getrandbits(20), 1000)
         self._half_open = {}
-        self._drain_told = False
         self.start_number = 0
         self.hangs = False
         self.started()
 
-    def started(self):
+    def started(self, same_name=False):
         """Begin anew: nothing of before is held."""
         self.start_number += 1
-        self.name = f"i-{self.host}-{self.start_number}"
+        if not same_name:
+            self.name = f"i-{self.host}-{self.start_number}"
+        self.born_ms = time.time_ns() // 1_000_000
         self.flows, self._half_open = set(), {}
         self.state, self.sequence = "ready", 0
-        self._drain_told = False
         self._ledger.target_started(self.host)
 
     def drain(self):
@@ -58,6 +60,24 @@
             now = asyncio.get_running_loop().time()
             self._ledger.drain_acknowledged(self.host, now)
 
+    def report(self):
+        """Return the body of a heartbeat."""
+        return {**super().report(), "born": self.born_ms}
+
+    async def send_odd_heartbeats(self):
+        """Send late, foreign and malformed heartbeats, as other writers do."""
+        now = self.report()
+        odd = (
+            {**now, "seq": max(0, now["seq"] - 3), "state": "draining"},
+            {**now, "born": self.born_ms - 5_000, "state": "draining"},
+            {**now, "service": "elsewhere", "seq": now["seq"] + 100},
+            {**now, "slots": "many"},
+            {"seq": None},
+        )
+        bodies = [json.dumps(body).encode() for body in odd]
+        for body in (*bodies, b"\xff{", b""):
+            await self.post_heartbeat(body)
+
     def datagram_received(self, data, addr):
         now = asyncio.get_running_loop().time()
         self._ledger.target_received(self.host, self.service, data, now)
--- a/tests/support/platform_deployment.py
+++ b/tests/support/platform_deployment.py
@@ -103,7 +103,12 @@
 
     async def heartbeat(self):
         self.sequence += 1
-        body = {
+        body = json.dumps(self.report()).encode()
+        self.acknowledged += await self.post_heartbeat(body)
+
+    def report(self):
+        """Return the body of a heartbeat."""
+        return {
             "service": self.service,
             "address": f"{self.app.host}:{self.app.port}",
             "zone": "dc",
@@ -113,12 +118,15 @@
             "warmupLeftMs": 0,
             "seq": self.sequence,
         }
+
+    async def post_heartbeat(self, body):
+        """Send a heartbeat; return whether it was acknowledged."""
         path = f"/ryesaddle/instances/{self.name}/heartbeat"
         try:
-            reply = await call(self.admin, "POST", path, json.dumps(body).encode())
+            reply = await call(self.admin, "POST", path, body)
         except HttpError:
-            return
-        self.acknowledged += reply.status == 200
+            return False
+        return reply.status == 200
 
 
 class Caller(asyncio.DatagramProtocol):
