Report to a balancer as often as it asks

Cause: every agent told every balancer five times a second, so that a balancer's work grew with the agents: 1,125 reports a second at 300 hosts. Change: a balancer asks for an interval that keeps them below 500 a second; a report promises the next one, and liveness is judged by that promise. News still go to all at once. Up to 100 agents nothing changes. Reports are a part of their own now (Reporter, Pace).

--- a/src/ryesaddle/daemons/passing/agent.py
+++ b/src/ryesaddle/daemons/passing/agent.py
@@ -9,7 +9,6 @@
 from ryesaddle.daemons.passing.http import HttpReply
 from ryesaddle.internal.log import event
 from ryesaddle.internal.membership.directory import TargetEntry
-from ryesaddle.internal.membership.introduction import Introduction
 from ryesaddle.internal.target.belief import Ignored, Taken
 from ryesaddle.internal.target.flows import Opened, Served
 from ryesaddle.internal.target.holder import (
@@ -23,20 +22,14 @@
 from ryesaddle.internal.wire.passing import (
     Carry,
     Held,
-    Hello,
-    Report,
-    ReportAck,
     Return,
 )
 
 log = logging.getLogger(__name__)
 
-REPORT_S = 0.2  # a third of the time after which a balancer suspects an agent
 EXPIRE_S = 1.0
 WATCH_S = 0.02  # a fraction of a request; most are let in when an answer passes by
 CONFIRM_S = 0.02  # a target beside its agent returns a packet within a millisecond
-ACK_REPORTS = 5  # one report in so many asks for a confirmation: one a second
-FORGET_BALANCER_S = 15.0  # longer than any outage that a balancer comes back from
 MAX_AWAITED = 1_024  # packets that may be returned; a return takes below 1 ms
 
 
@@ -66,14 +59,14 @@
     ----------
     settings : PassingAgentSettings
         Settings of the process.
-    incarnation : int
-        Distinguishes runs of the agent.
     packets : PacketProtocol
         Reads and builds packets.
     belief, flows, queue, holder : TargetBelief, TargetFlows, FlowQueue, Holder
         The decisions.
     messages : MessageSocket
         To balancers and other agents.
+    reporter : Reporter
+        Tells the balancers of this agent.
     target : PacketSocket
         To the target and to callers.
     keeper : EntryKeeper
@@ -85,19 +78,18 @@
     def __init__(
         self,
         settings,
-        incarnation,
         packets,
         belief,
         flows,
         queue,
         holder,
         messages,
+        reporter,
         target,
         keeper,
         metrics,
     ):
         self._settings = settings
-        self._incarnation = incarnation
         self._packets = packets
         self._belief = belief
         self._flows = flows
@@ -107,108 +99,28 @@
         self._target = target
         self._keeper = keeper
         self._metrics = metrics
-        self._introduction = Introduction(self._now())
-        self._balancers = {}
-        self._sequence = 0
+        self._reporter = reporter
         self._awaited = [None] * MAX_AWAITED
         self._unconfirmed = deque()
         self._token = 0
         self._target_silent = False
         self.knows_target = asyncio.Event()
         messages.on(Carry, self._on_carry)
-        messages.on(ReportAck, self._on_ack)
-        messages.on(Hello, self._on_hello)
-
-    # Reports
+        reporter.listen(self.restore, self.register)
 
     async def run(self):
-        """Report and clean up until cancelled."""
-        next_expiry = 0.0
+        """Forget old flows until cancelled."""
         while True:
-            self.report()
-            now = self._now()
-            if now >= next_expiry:
-                next_expiry = now + EXPIRE_S
-                self._expire(now)
-            await asyncio.sleep(REPORT_S)
-
-    def know_balancers(self, addresses):
-        """Report to the balancers at these addresses from now on."""
-        for address in addresses:
-            self._balancers.setdefault(address, self._now())
-        self.report()
-
-    def report(self, gone=False):
-        """Tell the balancers how this agent and its target are.
-
-        Parameters
-        ----------
-        gone : bool
-            Whether this is the last report, since the target has ended.
-        """
-        self._sequence += 1
-        belief = self._belief
-        self._introduce()
-        report = Report(
-            node=self._settings.node,
-            incarnation=self._incarnation,
-            service=self._settings.service,
-            data_centre=self._settings.data_centre,
-            address=self._settings.peer,
-            open=self._holder.is_open(self._now()),
-            load=round(self._holder.load(self._now()), 3),
-            slots=belief.slots,
-            target=belief.target,
-            draining=belief.draining,
-            sequence=self._sequence,
-            wants_ack=(
-                not self._holder.introduced or self._sequence % ACK_REPORTS == 1
-            ),
-            gone=gone,
-        )
-        for address in self._balancers:
-            self._messages.send(address, report)
-
-    def _introduce(self):
-        """Return whether the balancers know this agent."""
-        done = self._introduction.is_done(self._balancers, self._now())
-        if done and not self._holder.introduced:
-            event(log, "introduced", balancers=len(self._balancers))
-        self._holder.introduced = done
-        return done
+            self._expire(self._now())
+            await asyncio.sleep(EXPIRE_S)
 
     def _expire(self, now):
         for flow in self._flows.expire(now, self._settings.flow_max_s):
             self._metrics.count("agent.unanswered")
             event(log, "unanswered", flow=flow, target=self._belief.target)
-        gone = [a for a, at in self._balancers.items() if now - at > FORGET_BALANCER_S]
-        for address in gone:
-            del self._balancers[address]
-            event(log, "balancer-forgotten", address=address)
-
-    def _on_ack(self, ack, addr):
-        self._balancers[addr] = self._now()
-        if ack.incarnation == self._incarnation:
-            self._introduction.confirmed(addr)
-            if not self._holder.introduced and self._introduce():
-                self.report()
-            self.restore(ack.target, ack.draining, f"balancer {ack.node}")
-
-    def _on_hello(self, hello, addr):
-        if hello.address not in self._balancers:
-            event(log, "balancer-known", balancer=hello.node, address=hello.address)
-        self._balancers[hello.address] = self._now()
-        if hello.register:
-            event(log, "register-again", balancer=hello.node)
-            self._register()
-        self.report()
 
     # The target
 
-    def registered_before(self):
-        """Note that the store held this agent's entry before this run."""
-        self._introduction.registered_before()
-
     def restore(self, target, draining, source):
         """Take what others knew of the target before this process started."""
         if self._belief.restore(target, draining):
@@ -245,7 +157,7 @@
         """Take a target's goodbye; return the `HttpReply`."""
         if self._belief.leave(target):
             event(log, "target", target=target, change="left")
-            self.report()
+            self._reporter.report()
             self._keeper.want(None)
         return HttpReply(200, b"{}")
 
@@ -260,12 +172,13 @@
             warm_up_s=report.warm_up_s,
         )
         self.knows_target.set()
-        self.report()
+        self._reporter.report()
         if change == "started":
             self._verify_flows()
-        self._register()
+        self.register()
 
-    def _register(self):
+    def register(self):
+        """Have the entry of the present target in the store."""
         if not self._belief.target:
             return
         self._keeper.want(
@@ -292,7 +205,7 @@
     # Packets
 
     def _on_carry(self, carry, addr):
-        self._balancers[carry.balancer] = self._now()
+        self._reporter.heard(carry.balancer)
         packet = self._packets.read_caller(carry.payload)
         if packet is None:
             self._metrics.count("agent.malformed")
@@ -374,7 +287,7 @@
             return
         self._target_silent = is_silent
         event(log, "target-silent" if is_silent else "target-answers")
-        self.report()
+        self._reporter.report()
         if is_silent:
             for carry in self._flows.unanswered():
                 packet = self._packets.read_caller(carry.payload)
@@ -449,7 +362,7 @@
         if sent.opens and self._holder.refused(self._now()):
             event(log, "target-refuses", target=self._belief.target, flow=sent.flow)
             self._metrics.count("agent.target_refused")
-            self.report()
+            self._reporter.report()
             self._verify_flows()
         if awaited.carry is None:
             self._reset(sent, "target-ended")
--- a/src/ryesaddle/daemons/passing/agents.py
+++ b/src/ryesaddle/daemons/passing/agents.py
@@ -5,6 +5,7 @@
 
 from ryesaddle.internal.log import event
 from ryesaddle.internal.membership.directory import TargetEntry
+from ryesaddle.internal.membership.pace import report_interval_s
 from ryesaddle.internal.wire.passing import Hello, Report, ReportAck
 
 log = logging.getLogger(__name__)
@@ -104,7 +105,10 @@
         if report.wants_ack:
             target = known.target if known else ""
             draining = known.draining if known else False
-            ack = ReportAck(self._entry.node, report.incarnation, target, draining)
+            interval_s = report_interval_s(len(self._directory))
+            ack = ReportAck(
+                self._entry.node, report.incarnation, target, draining, interval_s
+            )
             self._messages.send(report.address, ack)
         self._liveness.heard(report.node)
         change = self._directory.hear(report, now)
--- a/src/ryesaddle/daemons/passing/peers.py
+++ b/src/ryesaddle/daemons/passing/peers.py
@@ -111,8 +111,7 @@
             heard=len(self._agents.live()),
             leaving=self.leaving,
         )
-        for address in self._others:
-            self._messages.send(address, msg)
+        self._messages.send_all(self._others, msg)
 
     async def fetch(self, control):
         """Take the state of another balancer; return whether it answered."""
--- a/src/ryesaddle/daemons/passing/run_agent.py
+++ b/src/ryesaddle/daemons/passing/run_agent.py
@@ -26,6 +26,7 @@
     bind_udp,
     stop_event,
 )
+from ryesaddle.daemons.passing.reporter import Reporter
 from ryesaddle.daemons.passing.sockets import MessageSocket, PacketSocket
 from ryesaddle.errors import StoreError
 from ryesaddle.internal.log import event, set_up_logging, warn
@@ -81,15 +82,16 @@
     messages = MessageSocket(early, metrics)
     target = PacketSocket(lambda data, addr: agent.on_target_packet(data, addr))
     keeper = EntryKeeper(store, TARGETS, settings.node, rng)
+    reporter = Reporter(settings, incarnation, belief, holder, messages)
     agent = PassingAgent(
         settings,
-        incarnation,
         packets,
         belief,
         flows,
         queue,
         holder,
         messages,
+        reporter,
         target,
         keeper,
         metrics,
@@ -122,11 +124,11 @@
     await target.open(bind_udp(settings.outbound))
     for address in {settings.ready, settings.control, settings.metrics}:
         await server.open(bind_tcp(address))
-    learning = asyncio.ensure_future(_learn_balancers(store, agent))
-    tasks.start(_ask_seeds, learning, agent, settings)
+    learning = asyncio.ensure_future(_learn_balancers(store, reporter))
+    tasks.start(_ask_seeds, learning, reporter, settings)
     await asyncio.wait(
         [
-            asyncio.ensure_future(_restore_target(store, agent, settings)),
+            asyncio.ensure_future(_restore_target(store, agent, reporter, settings)),
             asyncio.ensure_future(agent.knows_target.wait()),
         ],
         timeout=LEARN_LIMIT_S,
@@ -135,17 +137,18 @@
     await messages.listen()
     event(log, "started", node=settings.node, role="agent", target=belief.target)
     tasks.start(settings.run)
+    tasks.start(reporter.run)
     tasks.start(agent.run)
     tasks.start(agent.watch)
     tasks.start(keeper.run)
-    tasks.start(_complete, store, agent, keeper, learning)
+    tasks.start(_complete, store, reporter, keeper, learning)
     await stop.wait()
     event(log, "stopping", node=settings.node, flows=len(flows))
     holder.draining = True
-    agent.report()
+    reporter.report()
     await _drain(flows, belief, settings.stop_limit_s - STOP_MARGIN_S)
     tasks.close()
-    agent.report(gone=not belief.target)
+    reporter.report(gone=not belief.target)
     event(
         log,
         "stopped",
@@ -154,18 +157,18 @@
     )
 
 
-async def _learn_balancers(store, agent):
+async def _learn_balancers(store, reporter):
     """Find the balancers; return whether the store told them."""
     try:
         entries = await list_entries(store, BALANCERS, BalancerEntry)
     except StoreError as exc:
         warn(log, "entries-not-listed", kind=BALANCERS, reason=exc)
         return False
-    agent.know_balancers([entry.address for entry in entries.values()])
+    reporter.know([entry.address for entry in entries.values()])
     return True
 
 
-async def _ask_seeds(learning, agent, settings):
+async def _ask_seeds(learning, reporter, settings):
     """Ask balancers for others if the store does not answer soon."""
     await asyncio.wait([learning], timeout=HEDGE_S)
     if learning.done() and learning.result():
@@ -177,11 +180,11 @@
         except (HttpError, msgspec.DecodeError) as exc:
             warn(log, "state-not-fetched", source=seed, reason=exc)
             continue
-        agent.know_balancers([entry.address for entry in state.balancers])
+        reporter.know([entry.address for entry in state.balancers])
         return
 
 
-async def _restore_target(store, agent, settings):
+async def _restore_target(store, agent, reporter, settings):
     try:
         held = await store.get(TARGETS, settings.node, attempts=1)
         if held is None:
@@ -191,16 +194,16 @@
         warn(log, "entry-not-read", kind=TARGETS, reason=exc)
         return
     if entry.service == settings.service and entry.address == settings.peer:
-        agent.registered_before()
+        reporter.registered_before()
         agent.restore(entry.target, entry.draining, "store")
 
 
-async def _complete(store, agent, keeper, learning):
+async def _complete(store, reporter, keeper, learning):
     """List once more if the own entry is new: who registers later has seen it."""
     learnt = await learning
     await keeper.settled.wait()
     while keeper.written or not learnt:
-        learnt = await _learn_balancers(store, agent)
+        learnt = await _learn_balancers(store, reporter)
         if learnt:
             return
         await asyncio.sleep(LIST_AGAIN_S)
--- a/src/ryesaddle/daemons/passing/sockets.py
+++ b/src/ryesaddle/daemons/passing/sockets.py
@@ -47,12 +47,18 @@
 
     def send(self, address, msg):
         """Send one message, also before `listen`."""
+        self.send_all((address,), msg)
+
+    def send_all(self, addresses, msg):
+        """Send one message to each address."""
         sender = self._sock if self._transport is None else self._transport
-        try:
-            sender.sendto(encode_message(msg), address)
-        except OSError:
-            # A full or unreachable network loses datagrams in any case.
-            self._metrics.count("peer.send_failed")
+        data = encode_message(msg)
+        for address in addresses:
+            try:
+                sender.sendto(data, address)
+            except OSError:
+                # A full or unreachable network loses datagrams in any case.
+                self._metrics.count("peer.send_failed")
 
     def connection_made(self, transport):
         """Keep the transport."""
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -10,7 +10,7 @@
 from ryesaddle.internal.routing.view import ServiceView
 from ryesaddle.internal.wire.passing import Report
 
-HEARD_S = 0.7  # three reports are missing
+HEARD_REPORTS = 3.5  # three reports are missing
 FORGET_S = 30.0  # longer than an entry of a silent agent stays in the store
 # Packets are at most so late. A smaller incarnation that is heard after it is no
 # late report: the host's clock was set back before the agent started again.
@@ -51,6 +51,7 @@
     incarnation: int = 0
     load: float = 0.0
     sequence: int = 0
+    interval_s: float = 0.2
     sent: int = 0
     known_at: float = 0.0
     heard_at: float | None = None
@@ -134,6 +135,7 @@
             report.incarnation,
             report.load,
             report.sequence,
+            report.interval_s,
             known_at=now,
             heard_at=now,
         )
@@ -192,7 +194,7 @@
         agent = self._agents.get(node)
         if agent is None or agent.heard_at is None:
             return False
-        return now - agent.heard_at <= HEARD_S
+        return now - agent.heard_at <= HEARD_REPORTS * agent.interval_s
 
     def forget_silent(self, now):
         """Forget and return the agents that have not reported for long."""
--- a/src/ryesaddle/internal/wire/passing.py
+++ b/src/ryesaddle/internal/wire/passing.py
@@ -122,6 +122,8 @@
         Whether the target is about to stop.
     sequence : int
         Grows with each report of one run.
+    interval_s : float
+        Time until the next report, in seconds.
     wants_ack : bool
         Whether the balancer is to confirm that it knows the agent.
     gone : bool
@@ -139,6 +141,7 @@
     target: str
     draining: bool
     sequence: int
+    interval_s: float = 0.2
     wants_ack: bool = False
     gone: bool = False
 
@@ -156,12 +159,15 @@
         The agent's target as the balancer knew it before, empty if it did not.
     draining : bool
         Whether that target was about to stop.
+    interval_s : float
+        How often the balancer wants reports, in seconds.
     """
 
     node: str
     incarnation: int
     target: str = ""
     draining: bool = False
+    interval_s: float = 0.2
 
 
 class Gossip(msgspec.Struct, frozen=True, array_like=True, tag=6):
--- a/tests/membership/test_directory.py
+++ b/tests/membership/test_directory.py
@@ -66,6 +66,13 @@
             self.assertIsNone(self.directory.hear(late, 0.1))
         self.assertFalse(self.is_open())
 
+    def test_an_agent_lives_until_three_of_its_reports_are_missing(self):
+        for interval_s in (0.2, 0.8):
+            directory = Directory()
+            directory.hear(report(interval_s=interval_s), 0.0)
+            self.assertTrue(directory.lives("side-1", 3.4 * interval_s))
+            self.assertFalse(directory.lives("side-1", 3.6 * interval_s))
+
     def test_a_run_whose_clock_was_set_back_is_heard_again(self):
         self.directory.hear(report(incarnation=9, sequence=5), 0.0)
         restarted = report(incarnation=4, sequence=1, open=False)
--- a/tests/support/passing.py
+++ b/tests/support/passing.py
@@ -6,6 +6,7 @@
 from ryesaddle.daemons.passing.agents import Agents
 from ryesaddle.daemons.passing.balancer import PassingBalancer
 from ryesaddle.daemons.passing.peers import BalancerEntry
+from ryesaddle.daemons.passing.reporter import Reporter
 from ryesaddle.daemons.passing.settings import (
     PassingAgentSettings,
     PassingBalancerSettings,
@@ -51,7 +52,11 @@
         self.handlers[kind] = handler
 
     def send(self, address, msg):
-        self._world.post(self._address, address, encode_message(msg))
+        self.send_all((address,), msg)
+
+    def send_all(self, addresses, msg):
+        for address in addresses:
+            self._world.post(self._address, address, encode_message(msg))
 
 
 class FakePackets:
@@ -115,6 +120,7 @@
         self.now = 100.0
         self.balancers = {}
         self.agents = {}
+        self.reporters = {}
         self.entries = {}
         self.balancer_entries = {}
         self.sent_by_callers = set()
@@ -215,27 +221,29 @@
         holder = Holder(me, service, belief, flows, queue)
         holder.introduced = False
         messages = FakeMessages(self, address)
-        PassingAgent._now = lambda agent: self.now
+        PassingAgent._now = Reporter._now = lambda _: self.now
+        reporter = Reporter(settings, self._runs, belief, holder, messages)
         agent = PassingAgent(
             settings,
-            self._runs,
             PlatformPackets(),
             belief,
             flows,
             queue,
             holder,
             messages,
+            reporter,
             FakePackets(self, number),
             FakeKeeper(self, node),
             Metrics(),
         )
         held = self.entries.get(node)
         if held is not None and held.service == service:
-            agent.registered_before()
+            reporter.registered_before()
             agent.restore(held.target, held.draining, "store")
         self._by_address[address] = messages
         self.agents[number] = (agent, target)
-        agent.know_balancers([e.address for e in self.balancer_entries.values()])
+        self.reporters[number] = reporter
+        reporter.know([e.address for e in self.balancer_entries.values()])
         self.settle()
 
     def stop_agent(self, number, gone=True):
@@ -243,7 +251,7 @@
         agent, target = self.agents.pop(number)
         if gone:
             agent.goodbye(target.name)
-            agent.report(gone=True)
+            self.reporters[number].report(gone=True)
         self.settle()
         self._by_address.pop(Address(f"10.0.2.{number}", 7000))
 
@@ -253,7 +261,7 @@
         self.settle()
 
     def report(self, number):
-        self.agents[number][0].report()
+        self.reporters[number].report()
         self.settle()
 
     def to_target(self, number, data):
