--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -53,6 +53,8 @@
             _plot_placement(rows)
         elif name == "broken":
             _plot_broken(rows)
+        elif name == "surge":
+            _plot_surge(rows)
 
 
 def _plot_placement(rows):
@@ -85,5 +87,23 @@
     figure.savefig(RESULTS / "broken.png", dpi=80)
 
 
+def _plot_surge(rows):
+    patterns = list(dict.fromkeys(row["pattern"] for row in rows))
+    policies = list(dict.fromkeys(row["policy"] for row in rows))
+    figure, axis = plt.subplots(figsize=(11, 4.5))
+    width = 0.8 / len(policies)
+    for number, policy in enumerate(policies):
+        found = [row["payoff"] for row in rows if row["policy"] == policy]
+        places = [place + number * width for place in range(len(patterns))]
+        axis.bar(places, found, width, label=policy)
+    axis.set_xticks([place + 0.4 - width / 2 for place in range(len(patterns))])
+    axis.set_xticklabels(patterns)
+    axis.set_ylim(0.5, 1.0)
+    axis.set_title("payoff by load pattern, with decisions taken out")
+    axis.legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(RESULTS / "surge.png", dpi=80)
+
+
 if __name__ == "__main__":
     main(sys.argv[1:])
--- a/bench/surge.py
+++ b/bench/surge.py
@@ -115,12 +115,21 @@
 
 
 class Outcome(msgspec.Struct, kw_only=True):
-    """What became of the requests."""
+    """What became of the requests.
+
+    Attributes
+    ----------
+    asked, in_time, late, failed : int
+        Requests.
+    busiest : float
+        Requests run by the busiest target, over the mean of all.
+    """
 
     asked: int = 0
     in_time: int = 0
     late: int = 0
     failed: int = 0
+    busiest: float = 0.0
 
     @property
     def payoff(self):
@@ -133,6 +142,7 @@
         self.number = number
         self.alive = True
         self.running = 0
+        self.runs = 0
         self.queue = []
         self.run = 0
 
@@ -182,6 +192,8 @@
         while self._events:
             now, _, function, args = heapq.heappop(self._events)
             function(now, *args)
+        runs = [target.runs for target in self._targets]
+        self.outcome.busiest = max(runs) * len(runs) / sum(runs)
         return self.outcome
 
     def _push(self, at, function, *args):
@@ -375,6 +387,7 @@
     def _run(self, now, node, flow):
         target = self._agents[node][0]
         target.running += 1
+        target.runs += 1
         mu = math.log(WORK_MEAN_S) - WORK_SPREAD**2 / 2
         taken = self._rng.lognormvariate(mu, WORK_SPREAD)
         lit = self._pattern.dark_at + self._pattern.dark_s
@@ -436,8 +449,9 @@
         else:
             with urgency:
                 found = model.play()
-        for name in Outcome.__struct_fields__:
+        for name in ("asked", "in_time", "late", "failed"):
             setattr(total, name, getattr(total, name) + getattr(found, name))
+        total.busiest += found.busiest / len(seeds)
     return total
 
 
@@ -456,6 +470,7 @@
                     "late": round(found.late / found.asked, 4),
                     "failed": round(found.failed / found.asked, 4),
                     "payoff": round(found.payoff, 4),
+                    "busiest": round(found.busiest, 3),
                 }
             )
     return rows
