--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format bench binary lock
+.PHONY: demo test lint format bench soak binary lock
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -31,6 +31,9 @@
 bench: $(VENV)/.installed
 	$(BIN)/python -m bench
 
+soak: $(VENV)/.installed
+	$(BIN)/python -m soak --fresh 10 --jobs 2
+
 binary: $(VENV)/.installed
 	rm -rf build dist && mkdir -p dist
 	$(BIN)/python -m pip install --quiet --target build/site -r requirements.run.lock
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import secrets
 import sys
 from pathlib import Path
 
@@ -11,14 +12,17 @@
 from soak.report import report_lines
 from soak.run import SoakRun
 
+FRESH_SEEDS = 10**9
+
 app = cyclopts.App(help="Run the platform roles under random faults.")
 
 
 @app.default
 def play(
-    first: int,
+    first: int | None = None,
     last: int | None = None,
     *,
+    fresh: int = 1,
     faults_s: float = 10.0,
     jobs: int = 1,
     folder: Path = Path("build/soak"),
@@ -29,6 +33,8 @@
     ----------
     first, last
         Seeds; one if LAST is left out.
+    fresh
+        How many seeds that nobody has chosen, if FIRST is left out.
     faults_s
         Time with faults in each run, in seconds.
     jobs
@@ -37,6 +43,9 @@
         Where the report, the results and the logs of the processes go.
     """
     logging.basicConfig(level=logging.CRITICAL)
+    if first is None:
+        first = secrets.randbelow(FRESH_SEEDS)
+        last = first + fresh - 1
     seeds = range(first, (first if last is None else last) + 1)
     results = asyncio.run(_play_all(seeds, faults_s, jobs, folder))
     folder.mkdir(parents=True, exist_ok=True)
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -4,6 +4,7 @@
 import signal
 
 from ryesaddle.daemons.passing.http import HttpError, call
+from soak.ledger import DRAIN_S
 from soak.plan import (
     LINK_FAULTS,
     PROCESS_FAULTS,
@@ -209,7 +210,8 @@
                 if target.state == "draining":
                     return
                 target.drain()
-                await asyncio.sleep(item.for_s)
+                # Before, a late opening packet is allowed, and shows nothing.
+                await asyncio.sleep(DRAIN_S + item.for_s)
                 await self._say_goodbye(target)
                 target.started()
 
