--- a/src/ryesaddle/platform/start.py
+++ b/src/ryesaddle/platform/start.py
@@ -22,6 +22,8 @@
 if __name__ == "__main__":
     # The file is read at the start in any case; the signal's default would end it.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Until the role runs there is nothing to finish.
+    signal.signal(signal.SIGTERM, lambda signum, frame: sys.exit(0))
     early = bind(sys.argv[2])
     # Nothing that an import allocates is garbage.
     gc.disable()
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -2,6 +2,8 @@
 import sys
 import unittest
 
+from tests.support.platform_deployment import START
+
 HEAVY = ("aiohttp", "aioquic", "cyclopts", "cryptography", "capnp", "prometheus_client")
 ROLES = {
     "balancer": "ryesaddle.daemons.passing.run_balancer",
@@ -9,6 +11,23 @@
 }
 
 
+class SignalTest(unittest.TestCase):
+    def test_a_stop_that_comes_during_the_imports_ends_the_process_with_code_0(self):
+        # The imports are replaced by a signal to itself (soak, seed 162).
+        code = (
+            "import os, runpy, signal, sys\n"
+            "class Stop:\n"
+            "    def find_spec(self, name, path, target=None):\n"
+            "        if name == 'ryesaddle.platform.role':\n"
+            "            os.kill(os.getpid(), signal.SIGTERM)\n"
+            "sys.meta_path.insert(0, Stop())\n"
+            "sys.argv[1:] = ['balancer', '127.0.0.1:0']\n"
+            f"runpy.run_path({str(START)!r}, run_name='__main__')\n"
+        )
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True)
+        self.assertEqual(done.returncode, 0, done.stderr)
+
+
 class ImportTest(unittest.TestCase):
     def test_a_role_loads_only_what_it_needs(self):
         for role, module in ROLES.items():
