Answer a balancer that starts without telling all others

Cause: an agent answered each hello with reports to all balancers. Change: only its sender is told. The test failed first.

--- a/src/ryesaddle/daemons/passing/reporter.py
+++ b/src/ryesaddle/daemons/passing/reporter.py
@@ -55,15 +55,14 @@
     async def run(self):
         """Report until cancelled."""
         while True:
-            self._send(all_now=False)
+            self._send()
             self._forget()
             await asyncio.sleep(REPORT_S)
 
     def know(self, addresses):
         """Report to the balancers at these addresses from now on."""
-        for address in addresses:
-            self._pace.heard(address, self._now())
-        self.report()
+        now = self._now()
+        self._send([address for address in addresses if self._pace.heard(address, now)])
 
     def heard(self, address):
         """Note a sign of life of a balancer."""
@@ -81,13 +80,13 @@
         gone : bool
             Whether this is the last report, since the target has ended.
         """
-        self._send(all_now=True, gone=gone)
+        self._send(self._pace, gone)
 
-    def _send(self, all_now, gone=False):
+    def _send(self, news=(), gone=False):
         self._sequence += 1
         self._introduce()
         now, belief = self._now(), self._belief
-        due = self._pace.due(now, all_now=all_now, all_ack=not self._holder.introduced)
+        due = self._pace.due(now, news, all_ack=not self._holder.introduced)
         for item, addresses in due.items():
             report = Report(
                 node=self._settings.node,
@@ -135,7 +134,7 @@
         if hello.register:
             event(log, "register-again", balancer=hello.node)
             self._on_missing()
-        self.report()
+        self._send((hello.address,))
 
     def _now(self):
         return asyncio.get_running_loop().time()
--- a/src/ryesaddle/internal/membership/pace.py
+++ b/src/ryesaddle/internal/membership/pace.py
@@ -62,6 +62,9 @@
     def __iter__(self):
         return iter(self._listeners)
 
+    def __contains__(self, address):
+        return address in self._listeners
+
     def heard(self, address: Address, now):
         """Note that a balancer lives; return whether it was unknown."""
         listener = self._listeners.get(address)
@@ -75,15 +78,15 @@
         """Note how often a balancer wants reports, in seconds."""
         self._listeners[address].interval_s = interval_s
 
-    def due(self, now, *, all_now=False, all_ack=False):
+    def due(self, now, news=(), *, all_ack=False):
         """Return the reports to send now.
 
         Parameters
         ----------
         now : float
             Seconds on a monotonic clock.
-        all_now : bool
-            Whether there are news for everyone.
+        news : container of Address
+            Balancers that must not wait; the `Pace` itself holds all.
         all_ack : bool
             Whether everyone is to confirm.
 
@@ -94,7 +97,7 @@
         found = {}
         for address, listener in self._listeners.items():
             # A timer may fire a moment early.
-            if not all_now and now < listener.next_at - REPORT_S / 2:
+            if address not in news and now < listener.next_at - REPORT_S / 2:
                 continue
             listener.next_at = now + listener.interval_s
             wants_ack = all_ack or now >= listener.ack_at
--- a/tests/membership/test_pace.py
+++ b/tests/membership/test_pace.py
@@ -55,7 +55,7 @@
         known.asked(EDGES[0], 3.2)
         known.due(1.0)
         self.assertEqual(known.due(1.01), {})
-        self.assertEqual(reported(known.due(1.02, all_now=True)), sorted(EDGES))
+        self.assertEqual(reported(known.due(1.02, known)), sorted(EDGES))
 
     def test_a_balancer_confirms_now_and_then(self):
         known = pace(EDGES[0])
--- a/tests/routing/test_passing.py
+++ b/tests/routing/test_passing.py
@@ -225,6 +225,17 @@
         self.assertTrue(world.agents[1][0]._holder.introduced)
 
 
+class ReporterTest(unittest.TestCase):
+    def test_a_balancer_that_starts_causes_reports_to_itself_alone(self):
+        # Reports to all for each that starts are quadratic when all start at once.
+        world = started(1, 2)
+        heard = []
+        world.lost = lambda source, to: heard.append(to.host)
+        world.start_balancer(2)
+        self.assertEqual(heard.count("10.0.1.1"), 0)
+        self.assertGreater(heard.count("10.0.1.2"), 0)
+
+
 class SearchTest(unittest.TestCase):
     def open_flow(self, world, balancer=1):
         world.send(balancer, caller(1), SYN)
