--- a/src/ryesaddle/cli/main.py
+++ b/src/ryesaddle/cli/main.py
@@ -18,8 +18,8 @@
 from ryesaddle.cli.operator import OperatorClient, read_seen
 from ryesaddle.cli.passing_operator import PassingOperator
 from ryesaddle.cli.report import flow_lines, status_lines, trace_lines
-from ryesaddle.daemons.agent import run_agent
-from ryesaddle.daemons.balancer import run_balancer
+from ryesaddle.daemons.quic.agent import run_agent
+from ryesaddle.daemons.quic.balancer import run_balancer
 from ryesaddle.errors import FolderError, RyesaddleError, SettingsError
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.config.change import compare
--- a/src/ryesaddle/cli/operator.py
+++ b/src/ryesaddle/cli/operator.py
@@ -8,8 +8,8 @@
 import aiohttp
 import msgspec
 
-from ryesaddle.daemons.control import ControlClient, bearer
-from ryesaddle.daemons.replication import (
+from ryesaddle.daemons.quic.control import ControlClient, bearer
+from ryesaddle.daemons.quic.replication import (
     CELLS,
     CONFIGURATION_NAME,
     CONFIGURATIONS,
--- a/src/ryesaddle/daemons/agent.py
+++ b/src/ryesaddle/daemons/quic/agent.py
@@ -5,16 +5,16 @@
 
 import msgspec
 
-from ryesaddle.daemons.certificate import CertificateWatch
-from ryesaddle.daemons.claims import Claims
-from ryesaddle.daemons.control import json_answer
-from ryesaddle.daemons.flows import Flows
-from ryesaddle.daemons.gate import Gate
-from ryesaddle.daemons.membership import running
-from ryesaddle.daemons.node import compose_node, stop_event
-from ryesaddle.daemons.relay import Relay
-from ryesaddle.daemons.upstream import Upstream
-from ryesaddle.daemons.views import ClaimViews
+from ryesaddle.daemons.quic.certificate import CertificateWatch
+from ryesaddle.daemons.quic.claims import Claims
+from ryesaddle.daemons.quic.control import json_answer
+from ryesaddle.daemons.quic.flows import Flows
+from ryesaddle.daemons.quic.gate import Gate
+from ryesaddle.daemons.quic.membership import running
+from ryesaddle.daemons.quic.node import compose_node, stop_event
+from ryesaddle.daemons.quic.relay import Relay
+from ryesaddle.daemons.quic.upstream import Upstream
+from ryesaddle.daemons.quic.views import ClaimViews
 from ryesaddle.internal.admission.admission import Admission
 from ryesaddle.internal.admission.health import Health
 from ryesaddle.internal.config.model import Limits
--- a/src/ryesaddle/daemons/balancer.py
+++ b/src/ryesaddle/daemons/quic/balancer.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from ryesaddle.daemons.control import json_answer
-from ryesaddle.daemons.membership import running
-from ryesaddle.daemons.node import compose_node, stop_event
-from ryesaddle.daemons.peer import open_udp
+from ryesaddle.daemons.quic.control import json_answer
+from ryesaddle.daemons.quic.membership import running
+from ryesaddle.daemons.quic.node import compose_node, stop_event
+from ryesaddle.daemons.quic.peer import open_udp
 from ryesaddle.errors import SettingsError
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.log import event, warn
--- a/src/ryesaddle/daemons/claims.py
+++ b/src/ryesaddle/daemons/quic/claims.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ryesaddle.daemons.control import json_answer
+from ryesaddle.daemons.quic.control import json_answer
 from ryesaddle.internal.claims.acceptor import Acceptor
 from ryesaddle.internal.claims.answer import ClaimReport
 from ryesaddle.internal.claims.claimant import Claimant, ClaimStatus
--- a/src/ryesaddle/daemons/exchange.py
+++ b/src/ryesaddle/daemons/quic/exchange.py
@@ -7,17 +7,17 @@
 import aiohttp
 import msgspec
 
-from ryesaddle.daemons.attempt import Attempt
-from ryesaddle.daemons.claims import Acquired, HeldElsewhere, Unavailable
-from ryesaddle.daemons.header import (
+from ryesaddle.daemons.quic.attempt import Attempt
+from ryesaddle.daemons.quic.claims import Acquired, HeldElsewhere, Unavailable
+from ryesaddle.daemons.quic.header import (
     OUTCOME_HEADER,
     answer_fields,
     error_fields,
     target_fields,
 )
-from ryesaddle.daemons.request import MAX_BODY_BYTES
-from ryesaddle.daemons.stream import CallerGoneError
-from ryesaddle.daemons.upstream import end_to_end
+from ryesaddle.daemons.quic.request import MAX_BODY_BYTES
+from ryesaddle.daemons.quic.stream import CallerGoneError
+from ryesaddle.daemons.quic.upstream import end_to_end
 from ryesaddle.internal.admission.admission import Decline
 from ryesaddle.internal.claims.answer import MAX_STORED_BYTES, StoredAnswer
 from ryesaddle.internal.claims.claimant import ClaimStatus
--- a/src/ryesaddle/daemons/flows.py
+++ b/src/ryesaddle/daemons/quic/flows.py
@@ -12,9 +12,9 @@
     StreamReset,
 )
 
-from ryesaddle.daemons.exchange import Exchange
-from ryesaddle.daemons.request import decode_request
-from ryesaddle.daemons.stream import FlowStream
+from ryesaddle.daemons.quic.exchange import Exchange
+from ryesaddle.daemons.quic.request import decode_request
+from ryesaddle.daemons.quic.stream import FlowStream
 from ryesaddle.internal.journal.outcome import Outcome
 from ryesaddle.internal.wire.message import Answer
 
--- a/src/ryesaddle/daemons/membership.py
+++ b/src/ryesaddle/daemons/quic/membership.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ryesaddle.daemons.replication import CELLS
+from ryesaddle.daemons.quic.replication import CELLS
 from ryesaddle.errors import ConflictError, StoreError
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.log import event, warn
--- a/src/ryesaddle/daemons/node.py
+++ b/src/ryesaddle/daemons/quic/node.py
@@ -8,14 +8,14 @@
 
 import aiohttp
 
-from ryesaddle.daemons.control import (
+from ryesaddle.daemons.quic.control import (
     ControlClient,
     ControlServer,
     bearer,
 )
-from ryesaddle.daemons.membership import Membership
-from ryesaddle.daemons.peer import PeerSocket
-from ryesaddle.daemons.replication import Replication
+from ryesaddle.daemons.quic.membership import Membership
+from ryesaddle.daemons.quic.peer import PeerSocket
+from ryesaddle.daemons.quic.replication import Replication
 from ryesaddle.internal.log import set_up_logging
 from ryesaddle.internal.membership.cell import CellMember
 from ryesaddle.internal.metrics import Metrics
--- a/src/ryesaddle/daemons/relay.py
+++ b/src/ryesaddle/daemons/quic/relay.py
@@ -6,7 +6,7 @@
 import msgspec
 from aiohttp import web
 
-from ryesaddle.daemons.request import Request
+from ryesaddle.daemons.quic.request import Request
 from ryesaddle.internal.routing.rendezvous import rank
 
 RELAY_PATH = "/relay"
--- a/src/ryesaddle/daemons/replication.py
+++ b/src/ryesaddle/daemons/quic/replication.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ryesaddle.daemons.control import json_answer
+from ryesaddle.daemons.quic.control import json_answer
 from ryesaddle.errors import FolderError
 from ryesaddle.internal.log import event, warn
 from ryesaddle.internal.membership.snapshot import (
--- a/src/ryesaddle/daemons/request.py
+++ b/src/ryesaddle/daemons/quic/request.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ryesaddle.daemons.header import REQUEST_ID_HEADER, TIMEOUT_HEADER
+from ryesaddle.daemons.quic.header import REQUEST_ID_HEADER, TIMEOUT_HEADER
 
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 MAX_BODY_BYTES = 1_048_576
--- a/src/ryesaddle/daemons/views.py
+++ b/src/ryesaddle/daemons/quic/views.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ryesaddle.daemons.control import json_answer
+from ryesaddle.daemons.quic.control import json_answer
 from ryesaddle.errors import ConflictError, StoreError
 from ryesaddle.internal.claims.handover import Handover, combine
 from ryesaddle.internal.claims.identity import ClaimMember
--- a/tests/daemons/test_certificate.py
+++ b/tests/daemons/test_certificate.py
@@ -4,7 +4,7 @@
 import unittest
 from pathlib import Path
 
-from ryesaddle.daemons.certificate import CertificateWatch
+from ryesaddle.daemons.quic.certificate import CertificateWatch
 from ryesaddle.internal.quic.endpoint import Endpoint, make_configuration
 from ryesaddle.internal.quic.reset import ResetTokens
 from tests.support.certificates import write_certificate
--- a/tests/daemons/test_upstream.py
+++ b/tests/daemons/test_upstream.py
@@ -3,7 +3,7 @@
 import aiohttp
 from aiohttp import web
 
-from ryesaddle.daemons.upstream import Upstream
+from ryesaddle.daemons.quic.upstream import Upstream
 from ryesaddle.internal.address import Address
 from tests.support.deployment import free_port
 
--- a/tests/daemons/test_views.py
+++ b/tests/daemons/test_views.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ryesaddle.daemons.views import ClaimViews
+from ryesaddle.daemons.quic.views import ClaimViews
 from ryesaddle.internal.claims.handover import Handover
 from ryesaddle.internal.claims.identity import ClaimMember
 from ryesaddle.internal.claims.view import ClaimView
@@ -55,7 +55,7 @@
         views = self.coordinate(number_of_other=0)
         await views._advance()
         self.assertEqual(self.written, [], "a view that spreads may lack members")
-        with mock.patch("ryesaddle.daemons.views.LOST_AFTER_S", 0.0):
+        with mock.patch("ryesaddle.daemons.quic.views.LOST_AFTER_S", 0.0):
             await views._advance()
         self.assertEqual([(v.number, v.lost) for v in self.written], [(3, True)])
 
@@ -66,7 +66,7 @@
         await views._read()
         views._committed = ClaimView(2, (DEAD,))
         views._handover = Handover()
-        with mock.patch("ryesaddle.daemons.views.LOST_AFTER_S", 0.0):
+        with mock.patch("ryesaddle.daemons.quic.views.LOST_AFTER_S", 0.0):
             await views._change((ME, OTHER))
         self.assertEqual([(v.number, v.lost) for v in self.written], [(3, True)])
 
