Part what a target says from the packets of its flows

The agent of the platform had two jobs in one class: Heartbeats takes the target's calls, AwaitedPackets remembers what it may return. No decision is changed.

--- a/src/ryesaddle/daemons/passing/agent.py
+++ b/src/ryesaddle/daemons/passing/agent.py
@@ -4,12 +4,8 @@
 import logging
 from collections import deque
 
-import msgspec
-
-from ryesaddle.daemons.passing.http import HttpReply
 from ryesaddle.internal.log import event
-from ryesaddle.internal.membership.directory import TargetEntry
-from ryesaddle.internal.target.belief import Ignored, Taken
+from ryesaddle.internal.target.awaited import AwaitedPackets
 from ryesaddle.internal.target.flows import Opened, Served
 from ryesaddle.internal.target.holder import (
     Deliver,
@@ -30,26 +26,6 @@
 EXPIRE_S = 1.0
 WATCH_S = 0.02  # a fraction of a request; most are let in when an answer passes by
 CONFIRM_S = 0.02  # a target beside its agent returns a packet within a millisecond
-MAX_AWAITED = 1_024  # packets that may be returned; a return takes below 1 ms
-
-
-class _Awaited(msgspec.Struct, frozen=True):
-    """A packet at the target that may be returned.
-
-    Attributes
-    ----------
-    token : int
-        Attached to the packet.
-    payload : bytes
-        The packet.
-    carry : Carry or None
-        Its envelope; None if it was sent again only to see whether the target
-        holds its flow.
-    """
-
-    token: int
-    payload: bytes
-    carry: Carry | None
 
 
 class PassingAgent:
@@ -69,8 +45,6 @@
         Tells the balancers of this agent.
     target : PacketSocket
         To the target and to callers.
-    keeper : EntryKeeper
-        The entry in the store.
     metrics : Metrics
         Counters.
     """
@@ -86,7 +60,6 @@
         messages,
         reporter,
         target,
-        keeper,
         metrics,
     ):
         self._settings = settings
@@ -97,16 +70,12 @@
         self._holder = holder
         self._messages = messages
         self._target = target
-        self._keeper = keeper
         self._metrics = metrics
         self._reporter = reporter
-        self._awaited = [None] * MAX_AWAITED
+        self._awaited = AwaitedPackets()
         self._unconfirmed = deque()
-        self._token = 0
         self._target_silent = False
-        self.knows_target = asyncio.Event()
         messages.on(Carry, self._on_carry)
-        reporter.listen(self.restore, self.register)
 
     async def run(self):
         """Forget old flows until cancelled."""
@@ -119,82 +88,8 @@
             self._metrics.count("agent.unanswered")
             event(log, "unanswered", flow=flow, target=self._belief.target)
 
-    # The target
-
-    def restore(self, target, draining, source):
-        """Take what others knew of the target before this process started."""
-        if self._belief.restore(target, draining):
-            event(
-                log,
-                "target-restored",
-                target=target,
-                draining=draining,
-                source=source,
-            )
-            self.knows_target.set()
-
-    def heartbeat(self, report):
-        """Take a heartbeat of the target; return the `HttpReply`."""
-        match self._belief.hear(report, self._now()):
-            case Ignored(reason=reason):
-                self._metrics.count(f"agent.heartbeat_ignored.{reason}")
-                event(
-                    log,
-                    "heartbeat-ignored",
-                    target=report.target,
-                    service=report.service,
-                    sequence=report.sequence,
-                    reason=reason,
-                )
-            case Taken(change=change):
-                self._flows.target_lives()
-                self._metrics.count("agent.heartbeat")
-                if change != "same":
-                    self._on_target_change(change, report)
-        return HttpReply(200, b"{}")
-
-    def goodbye(self, target):
-        """Take a target's goodbye; return the `HttpReply`."""
-        if self._belief.leave(target):
-            event(log, "target", target=target, change="left")
-            self._reporter.report()
-            self._keeper.want(None)
-        return HttpReply(200, b"{}")
-
-    def _on_target_change(self, change, report):
-        event(
-            log,
-            "target",
-            target=report.target,
-            change=change,
-            sequence=report.sequence,
-            slots=report.slots,
-            warm_up_s=report.warm_up_s,
-        )
-        self.knows_target.set()
-        self._reporter.report()
-        if change == "started":
-            self._verify_flows()
-        self.register()
-
-    def register(self):
-        """Have the entry of the present target in the store."""
-        if not self._belief.target:
-            return
-        self._keeper.want(
-            TargetEntry(
-                node=self._settings.node,
-                service=self._settings.service,
-                data_centre=self._settings.data_centre,
-                address=self._settings.peer,
-                control=self._settings.control,
-                target=self._belief.target,
-                draining=self._belief.draining,
-            )
-        )
-
-    def _verify_flows(self):
-        """Send the last packet of each waiting flow again.
+    def verify_flows(self):
+        """Send the last packet of each waiting flow again, after the target started.
 
         The target before may have taken the flow with it. The present one returns
         what it does not hold, and the caller need not wait any longer.
@@ -275,8 +170,7 @@
         now = self._now()
         while self._unconfirmed and now - self._unconfirmed[0][0] >= CONFIRM_S:
             _, token, carry, flow = self._unconfirmed.popleft()
-            awaited = self._awaited[token % MAX_AWAITED]
-            if awaited is not None and awaited.token == token:
+            if self._awaited.find(token) is not None:
                 self._flows.adopted(flow, now)
                 self._tell_held(carry, flow)
 
@@ -314,12 +208,10 @@
                 self._perform(decision, item.carry, packet)
 
     def _to_target(self, payload, carry):
-        self._token = (self._token + 1) & 0xFFFFFFFF or 1
-        awaited = _Awaited(self._token, payload, carry)
-        self._awaited[self._token % MAX_AWAITED] = awaited
-        data = self._packets.with_token(payload, self._token)
+        token = self._awaited.add(payload, carry)
+        data = self._packets.with_token(payload, token)
         self._target.send(data, self._settings.target_address)
-        return self._token
+        return token
 
     def on_target_packet(self, data, addr):
         """Take a datagram of the target."""
@@ -348,22 +240,21 @@
             self._serve_waiting()
 
     def _on_returned(self, packet):
-        place = packet.token % MAX_AWAITED
-        awaited = self._awaited[place]
-        if awaited is None or awaited.token != packet.token:
+        awaited = self._awaited.find(packet.token)
+        if awaited is None:
             self._metrics.count("agent.return_unknown")
             return
         sent = self._packets.read_caller(awaited.payload)
         if sent is None or sent.flow != packet.flow:
             self._metrics.count("agent.return_unknown")
             return
-        self._awaited[place] = None
+        self._awaited.take(packet.token)
         self._flows.returned(sent.flow)
         if sent.opens and self._holder.refused(self._now()):
             event(log, "target-refuses", target=self._belief.target, flow=sent.flow)
             self._metrics.count("agent.target_refused")
             self._reporter.report()
-            self._verify_flows()
+            self.verify_flows()
         if awaited.carry is None:
             self._reset(sent, "target-ended")
         else:
--- /dev/null
+++ b/src/ryesaddle/daemons/passing/heartbeats.py
@@ -0,0 +1,122 @@
+"""What an agent's target says of itself, and who is told."""
+
+import asyncio
+import logging
+
+from ryesaddle.daemons.passing.http import HttpReply
+from ryesaddle.internal.log import event
+from ryesaddle.internal.membership.directory import TargetEntry
+from ryesaddle.internal.target.belief import Ignored, Taken
+
+log = logging.getLogger(__name__)
+
+
+class Heartbeats:
+    """Takes the target's calls; tells the balancers and the store what is new.
+
+    Parameters
+    ----------
+    settings : PassingAgentSettings
+        Settings of the process.
+    belief, flows : TargetBelief, TargetFlows
+        What is known of the target.
+    reporter : Reporter
+        Tells the balancers.
+    keeper : EntryKeeper
+        The entry in the store.
+    metrics : Metrics
+        Counters.
+
+    Attributes
+    ----------
+    knows_target : asyncio.Event
+        Set once the target is known.
+    on_started : callable
+        Called when a target has started.
+    """
+
+    def __init__(self, settings, belief, flows, reporter, keeper, metrics):
+        self._settings = settings
+        self._belief = belief
+        self._flows = flows
+        self._reporter = reporter
+        self._keeper = keeper
+        self._metrics = metrics
+        self.knows_target = asyncio.Event()
+        self.on_started = lambda: None
+        reporter.listen(self.restore, self.register)
+
+    def restore(self, target, draining, source):
+        """Take what others knew of the target before this process started."""
+        if self._belief.restore(target, draining):
+            event(
+                log,
+                "target-restored",
+                target=target,
+                draining=draining,
+                source=source,
+            )
+            self.knows_target.set()
+
+    def heartbeat(self, report):
+        """Take a heartbeat of the target; return the `HttpReply`."""
+        match self._belief.hear(report, self._now()):
+            case Ignored(reason=reason):
+                self._metrics.count(f"agent.heartbeat_ignored.{reason}")
+                event(
+                    log,
+                    "heartbeat-ignored",
+                    target=report.target,
+                    service=report.service,
+                    sequence=report.sequence,
+                    reason=reason,
+                )
+            case Taken(change=change):
+                self._flows.target_lives()
+                self._metrics.count("agent.heartbeat")
+                if change != "same":
+                    self._on_change(change, report)
+        return HttpReply(200, b"{}")
+
+    def goodbye(self, target):
+        """Take a target's goodbye; return the `HttpReply`."""
+        if self._belief.leave(target):
+            event(log, "target", target=target, change="left")
+            self._reporter.report()
+            self._keeper.want(None)
+        return HttpReply(200, b"{}")
+
+    def register(self):
+        """Have the entry of the present target in the store."""
+        if not self._belief.target:
+            return
+        self._keeper.want(
+            TargetEntry(
+                node=self._settings.node,
+                service=self._settings.service,
+                data_centre=self._settings.data_centre,
+                address=self._settings.peer,
+                control=self._settings.control,
+                target=self._belief.target,
+                draining=self._belief.draining,
+            )
+        )
+
+    def _on_change(self, change, report):
+        event(
+            log,
+            "target",
+            target=report.target,
+            change=change,
+            sequence=report.sequence,
+            slots=report.slots,
+            warm_up_s=report.warm_up_s,
+        )
+        self.knows_target.set()
+        self._reporter.report()
+        if change == "started":
+            self.on_started()
+        self.register()
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
--- a/src/ryesaddle/daemons/passing/run_agent.py
+++ b/src/ryesaddle/daemons/passing/run_agent.py
@@ -10,6 +10,7 @@
 from ryesaddle.daemons.passing.admin import Admin
 from ryesaddle.daemons.passing.agent import PassingAgent
 from ryesaddle.daemons.passing.entry import EntryKeeper, list_entries
+from ryesaddle.daemons.passing.heartbeats import Heartbeats
 from ryesaddle.daemons.passing.http import HttpError, HttpReply, HttpServer, call
 from ryesaddle.daemons.passing.peers import (
     FETCH_TIMEOUT_S,
@@ -62,7 +63,7 @@
     api : ObjectApi
         The platform's object API.
     answer_target : callable
-        Takes the agent and an `HttpRequest` of the target, returns an `HttpReply`.
+        Takes the `Heartbeats` and a target's `HttpRequest`, returns an `HttpReply`.
     ready_path : str
         Where the platform asks whether this agent is ready.
     """
@@ -83,6 +84,7 @@
     target = PacketSocket(lambda data, addr: agent.on_target_packet(data, addr))
     keeper = EntryKeeper(store, TARGETS, settings.node, rng)
     reporter = Reporter(settings, incarnation, belief, holder, messages)
+    heartbeats = Heartbeats(settings, belief, flows, reporter, keeper, metrics)
     agent = PassingAgent(
         settings,
         packets,
@@ -93,9 +95,9 @@
         messages,
         reporter,
         target,
-        keeper,
         metrics,
     )
+    heartbeats.on_started = agent.verify_flows
 
     def status():
         return {
@@ -117,7 +119,7 @@
     def handle(req):
         if req.path == ready_path:
             return HttpReply(200)
-        return admin.answer(req) or answer_target(agent, req)
+        return admin.answer(req) or answer_target(heartbeats, req)
 
     server = HttpServer(handle)
     tasks = Supervisor()
@@ -128,8 +130,10 @@
     tasks.start(_ask_seeds, learning, reporter, settings)
     await asyncio.wait(
         [
-            asyncio.ensure_future(_restore_target(store, agent, reporter, settings)),
-            asyncio.ensure_future(agent.knows_target.wait()),
+            asyncio.ensure_future(
+                _restore_target(store, heartbeats, reporter, settings)
+            ),
+            asyncio.ensure_future(heartbeats.knows_target.wait()),
         ],
         timeout=LEARN_LIMIT_S,
         return_when=asyncio.FIRST_COMPLETED,
@@ -184,7 +188,7 @@
         return
 
 
-async def _restore_target(store, agent, reporter, settings):
+async def _restore_target(store, heartbeats, reporter, settings):
     try:
         held = await store.get(TARGETS, settings.node, attempts=1)
         if held is None:
@@ -195,7 +199,7 @@
         return
     if entry.service == settings.service and entry.address == settings.peer:
         reporter.registered_before()
-        agent.restore(entry.target, entry.draining, "store")
+        heartbeats.restore(entry.target, entry.draining, "store")
 
 
 async def _complete(store, reporter, keeper, learning):
--- a/src/ryesaddle/platform/role.py
+++ b/src/ryesaddle/platform/role.py
@@ -73,14 +73,14 @@
     return table
 
 
-def _answer_target(agent, req):
+def _answer_target(heartbeats, req):
     found = read_path(req.path)
     if found is None or req.method != "POST":
         return HttpReply(404)
     target, verb = found
     if verb != BEAT:
-        return agent.goodbye(target)
+        return heartbeats.goodbye(target)
     report = read_heartbeat(target, req.body)
     if report is None:
         return HttpReply(400, b"{}")
-    return agent.heartbeat(report)
+    return heartbeats.heartbeat(report)
--- a/tests/support/passing.py
+++ b/tests/support/passing.py
@@ -5,6 +5,7 @@
 from ryesaddle.daemons.passing.agent import PassingAgent
 from ryesaddle.daemons.passing.agents import Agents
 from ryesaddle.daemons.passing.balancer import PassingBalancer
+from ryesaddle.daemons.passing.heartbeats import Heartbeats
 from ryesaddle.daemons.passing.peers import BalancerEntry
 from ryesaddle.daemons.passing.reporter import Reporter
 from ryesaddle.daemons.passing.settings import (
@@ -121,6 +122,7 @@
         self.balancers = {}
         self.agents = {}
         self.reporters = {}
+        self.heartbeats = {}
         self.entries = {}
         self.balancer_entries = {}
         self.sent_by_callers = set()
@@ -221,8 +223,12 @@
         holder = Holder(me, service, belief, flows, queue)
         holder.introduced = False
         messages = FakeMessages(self, address)
-        PassingAgent._now = Reporter._now = lambda _: self.now
+        for kind in (PassingAgent, Reporter, Heartbeats):
+            kind._now = lambda _: self.now
         reporter = Reporter(settings, self._runs, belief, holder, messages)
+        heartbeats = Heartbeats(
+            settings, belief, flows, reporter, FakeKeeper(self, node), Metrics()
+        )
         agent = PassingAgent(
             settings,
             PlatformPackets(),
@@ -233,31 +239,32 @@
             messages,
             reporter,
             FakePackets(self, number),
-            FakeKeeper(self, node),
             Metrics(),
         )
+        heartbeats.on_started = agent.verify_flows
         held = self.entries.get(node)
         if held is not None and held.service == service:
             reporter.registered_before()
-            agent.restore(held.target, held.draining, "store")
+            heartbeats.restore(held.target, held.draining, "store")
         self._by_address[address] = messages
         self.agents[number] = (agent, target)
         self.reporters[number] = reporter
+        self.heartbeats[number] = heartbeats
         reporter.know([e.address for e in self.balancer_entries.values()])
         self.settle()
 
     def stop_agent(self, number, gone=True):
         """End an agent whose target has left."""
-        agent, target = self.agents.pop(number)
+        _, target = self.agents.pop(number)
         if gone:
-            agent.goodbye(target.name)
+            self.heartbeats[number].goodbye(target.name)
             self.reporters[number].report(gone=True)
         self.settle()
         self._by_address.pop(Address(f"10.0.2.{number}", 7000))
 
     def heartbeat(self, number):
-        agent, target = self.agents[number]
-        agent.heartbeat(target.report())
+        _, target = self.agents[number]
+        self.heartbeats[number].heartbeat(target.report())
         self.settle()
 
     def report(self, number):
