--- a/soak/injector.py
+++ b/soak/injector.py
@@ -210,7 +210,7 @@
                 if target.state == "draining":
                     return
                 target.drain()
-                # Before, a late opening packet is allowed, and shows nothing.
+                # Only what arrives after this time breaks the promise.
                 await asyncio.sleep(DRAIN_S + item.for_s)
                 await self._say_goodbye(target)
                 target.started()
--- a/soak/run.py
+++ b/soak/run.py
@@ -88,10 +88,8 @@
             await self._injector.run(self._plan, self._done.append)
             await self._injector.configure(set(FRONTS))
             await asyncio.sleep(STABLE_S)
-            for session in sessions:
-                session.cancel()
             await self._check_calm()
-            await asyncio.gather(*sessions, return_exceptions=True)
+            await self._end(sessions)
             self._check_processes()
         finally:
             await world.stop()
@@ -130,6 +128,14 @@
             if (port, service) not in self._kept:
                 caller.end_flow(port, service)
 
+    @staticmethod
+    async def _end(sessions):
+        for session in sessions:
+            session.cancel()
+        for outcome in await asyncio.gather(*sessions, return_exceptions=True):
+            if isinstance(outcome, Exception):  # which a cancellation is not
+                raise outcome
+
     # After the faults
 
     async def _check_calm(self):
