Excuse a stop by the signal itself only for processes without sockets

Trace: start.py was suspended at 30 points between the start of the interpreter and the end of the imports, and its descriptors were read. A process that ended with -15 held no socket each time; start.py handles SIGTERM before it binds one. So it has received nothing and promised nothing.

Change: the injector suspends a process, looks whether it holds a socket, and sends SIGTERM. Exit code -15 is excused only without a socket. The tests show that a process with a bound socket is still reported, also when paused.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -18,7 +18,6 @@
     "pack-archive",
     "pack-archive",
 )
-STORE_HOST = "127.0.9.1"
 
 
 class SoakDeployment(PlatformDeployment):
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -12,6 +12,7 @@
     STORE_LINK_FAULTS,
     TARGET_FAULTS,
 )
+from soak.termination import is_clean_exit, terminate
 from tests.support.platform_deployment import SERVICE_ADDRESSES, configuration
 
 STOP_TIMEOUT_S = 6.0  # `graceS` in production
@@ -82,17 +83,23 @@
     async def _restart_process(self, item, host, signum):
         process = self._deployment.processes[host]
         self._restarting.add(host)
-        process.send_signal(signum)
-        if signum == signal.SIGTERM and not await self._exits_in_time(process):
-            self.unclean_stops.append(f"{host} did not exit in time and was killed")
-            process.kill()
-        elif signum == signal.SIGTERM and process.returncode != 0:
-            self.unclean_stops.append(f"{host} exited with code {process.returncode}")
+        if signum == signal.SIGTERM:
+            await self._stop_process(host, process)
+        else:
+            process.send_signal(signum)
         process.wait()
         await asyncio.sleep(item.for_s)
         self._deployment.start_process(host)
         self._restarting.discard(host)
 
+    async def _stop_process(self, host, process):
+        held_socket = await terminate(process, process.pid in self._pause_counts)
+        if not await self._exits_in_time(process):
+            self.unclean_stops.append(f"{host} did not exit in time and was killed")
+            process.kill()
+        elif not is_clean_exit(process.returncode, held_socket):
+            self.unclean_stops.append(f"{host} exited with code {process.returncode}")
+
     async def _exits_in_time(self, process):
         """Whether a process exits within the stop timeout; pauses are not counted."""
         remaining_s = STOP_TIMEOUT_S
