--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -33,17 +33,24 @@
     return {line.split()[0] for line in lines if line.startswith("tests.")}
 
 
+def describe_outcome(name, finished, failed):
+    """Return ``failed``, ``passed`` or ``was not run`` for a test."""
+    if name in failed:
+        return "failed"
+    return "passed" if name in finished else "was not run"
+
+
 def main():
     """Run the tests and return the exit code."""
     argv = ["nose2", "-s", "tests", "-t", ".", *sys.argv[1:]]
     program = PluggableTestProgram(
         module=None, argv=argv, exit=False, plugins=["tests.support.outcomes"]
     )
-    count, failed = Outcomes.count, Outcomes.failed
+    count, failed = len(Outcomes.finished), Outcomes.failed
     known_failures = read_known_failures()
     new_failures = [name for name in failed if name not in known_failures]
     for name in sorted(known_failures):
-        print(f"known red: {name} {'failed' if name in failed else 'passed'}")
+        print(f"known red: {name} {describe_outcome(name, Outcomes.finished, failed)}")
     for name in new_failures:
         print(f"new failure: {name}")
     print(f"{count - len(failed)} passed, {len(new_failures)} failed")
--- a/tests/support/outcomes.py
+++ b/tests/support/outcomes.py
@@ -1,17 +1,17 @@
-"""A nose2 plugin that counts the tests and records which ones failed."""
+"""A nose2 plugin that records which tests were run and which ones failed."""
 
 from nose2 import events, result
 
 
 class Outcomes(events.Plugin):
-    """Counts finished tests and collects the IDs of those that failed unexpectedly."""
+    """Collects the IDs of finished tests, and of those that failed unexpectedly."""
 
     configSection = "outcomes"
     alwaysOn = True
     failed = []
-    count = 0
+    finished = []
 
     def testOutcome(self, event):
-        Outcomes.count += 1
+        self.finished.append(event.test.id())
         if event.outcome in (result.FAIL, result.ERROR) and not event.expected:
             self.failed.append(event.test.id())
