Repair the data path benchmark, and run the benchmarks' steps in a test

KeyValueFormatter takes the name of the node since the logs of several processes can be merged; the benchmark did not pass it and ended in a TypeError. No test ran it.

--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -18,6 +18,7 @@
 from tests.support.flows import SERVICE, member
 
 CALLS_PER_RUN = 20_000
+WARM_UP_CALLS = 200
 PAYLOAD = b"\x40" + os.urandom(1_199)
 FLOW_COUNTS = (12_500, 25_000, 50_000, 100_000, 200_000)
 
@@ -87,7 +88,7 @@
 
 
 def _median_us(function):
-    for number in range(200):
+    for number in range(min(WARM_UP_CALLS, CALLS_PER_RUN)):
         function(number)
     run_us = []
     for _ in range(3):
@@ -101,6 +102,6 @@
 def _in_memory_log():
     log = logging.Logger("bench")
     handler = logging.StreamHandler(io.StringIO())
-    handler.setFormatter(KeyValueFormatter())
+    handler.setFormatter(KeyValueFormatter("bench"))
     log.addHandler(handler)
     return log
--- a/bench/passthrough.py
+++ b/bench/passthrough.py
@@ -115,14 +115,14 @@
     return _traced_bytes(lambda: _make_directory(agents))
 
 
-def _time_us(function, calls_per_run=CALLS_PER_RUN):
+def _time_us(function):
     best_s = float("inf")
     for run in range(3):
         started_at = time.perf_counter()
-        for number in range(run * calls_per_run, (run + 1) * calls_per_run):
+        for number in range(run * CALLS_PER_RUN, (run + 1) * CALLS_PER_RUN):
             function(number)
         best_s = min(best_s, time.perf_counter() - started_at)
-    return best_s / calls_per_run * 1e6
+    return best_s / CALLS_PER_RUN * 1e6
 
 
 def _new_flow_us(agents):
--- /dev/null
+++ b/tests/bench/test_benchmarks.py
@@ -0,0 +1,33 @@
+"""Benchmarks of single steps run to their end."""
+
+import unittest
+from unittest import mock
+
+from bench import datapath, passthrough
+
+
+class DatapathTest(unittest.TestCase):
+    def test_each_step_of_the_data_path_is_measured(self):
+        with mock.patch.object(datapath, "CALLS_PER_RUN", 20):
+            rows = datapath.run_datapath()
+        self.assertEqual(len(rows), 7)
+        for row in rows:
+            self.assertGreater(row["us"], 0, row)
+
+    def test_memory_is_measured_for_each_number_of_flows(self):
+        with mock.patch.object(datapath, "FLOW_COUNTS", (10, 20)):
+            rows = datapath.run_flow_memory()
+        self.assertEqual([row["flows"] for row in rows], [10, 20])
+
+
+class PassthroughTest(unittest.TestCase):
+    def test_each_cost_is_measured_at_every_size(self):
+        small = {
+            "FLOW_COUNTS": (50, 100),
+            "AGENT_COUNTS": (4, 8),
+            "CALLS_PER_RUN": 20,
+        }
+        with mock.patch.multiple(passthrough, **small):
+            rows = passthrough.run_passthrough()
+        self.assertTrue(all(len(row["points"]) == 2 for row in rows[:-1]))
+        self.assertGreater(rows[-1]["report, bytes"], 0)
