--- a/tests/processes/test_flows.py
+++ b/tests/processes/test_flows.py
@@ -28,7 +28,12 @@
             self.deployment.signal(agent, signal.SIGTERM)
             reply = await slow
         self.assertEqual((reply.status, reply.outcome), (200, "ran"))
-        self.deployment.processes.pop(agent).wait(30)
+        self.assertEqual(self.deployment.processes.pop(agent).wait(30), 0)
+
+    async def test_a_stopped_balancer_exits_with_code_0(self):
+        self.deployment.signal("balancer-0", signal.SIGTERM)
+        process = self.deployment.processes.pop("balancer-0")
+        self.assertEqual(await asyncio.to_thread(process.wait, 30), 0)
 
     async def test_a_flow_of_a_killed_agent_is_refused_not_left_hanging(self):
         async with self.deployment.open_flow("case-desk") as caller:
