--- a/src/ryesaddle/daemons/passthrough/http.py
+++ b/src/ryesaddle/daemons/passthrough/http.py
@@ -14,7 +14,6 @@
 MAX_BODY_BYTES = 64 * 1024  # messages of targets are smaller than 4 KiB
 MAX_REPLY_BYTES = 8 * 1_048_576  # list pages are about 1 MB, values at most 1 MB
 IDLE_TIMEOUT_S = 30.0  # heartbeat intervals are at most a few seconds
-READ_CHUNK = 65_536
 
 REASON_PHRASES = {
     200: "OK",
--- a/src/ryesaddle/platform/packet.py
+++ b/src/ryesaddle/platform/packet.py
@@ -13,7 +13,6 @@
 _ECHO = struct.Struct("!I")
 _ECHO_OFFSET = 8
 _FLAGS_OFFSET = 30
-_PAD_OFFSET = 31
 _ZERO_ECHO = b"\0\0\0\0"
 _ZERO_PAD = b"\0\0\0\0\0"
 
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -74,7 +74,6 @@
         self.ports = {}
         self.service_addresses = {}
         self.settings_by_member = {}
-        self._desk = None
         self.program = [sys.executable, "-m", "ryesaddle"]
 
     async def start(self):
