--- a/tests/claims/test_at_most_once.py
+++ b/tests/claims/test_at_most_once.py
@@ -21,8 +21,10 @@
 NAMES = ("a", "b", "c", "d")
 names = st.sampled_from(NAMES)
 SETTINGS = settings(max_examples=400, stateful_step_count=40)
+# Some defects are found by one example in a thousand. Hypothesis also draws constants
+# from the modules that are loaded, so the examples depend on the tests that run beside.
 MUTANT_SETTINGS = settings(
-    max_examples=2_000, stateful_step_count=40, phases=[Phase.generate]
+    max_examples=40_000, stateful_step_count=40, phases=[Phase.generate]
 )
 
 
