Fetch a newer configuration beside the state of agents, and agents only after a lasting difference

Cause: a balancer fetched a peer's whole state (all agents, all routes) whenever the digests of the known agents differed, one fetch at a time.

Change: FetchSchedule decides. A newer configuration is fetched at once and from the next peer after 0.25 s; agents are fetched when a difference has lasted for 1 s, at once while the balancer does not know all agents. A failed fetch is repeated.

--- a/src/ryesaddle/daemons/passthrough/agent_monitor.py
+++ b/src/ryesaddle/daemons/passthrough/agent_monitor.py
@@ -44,6 +44,10 @@
         """Return a digest of the set of known agents."""
         return self._directory.digest()
 
+    def is_complete(self):
+        """Whether every registered agent is known or will report on its own."""
+        return self._directory.complete
+
     def entries(self):
         """Return the known agents as `TargetEntry` items."""
         return tuple(
--- a/src/ryesaddle/daemons/passthrough/peers.py
+++ b/src/ryesaddle/daemons/passthrough/peers.py
@@ -9,6 +9,7 @@
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.log import event, warn
 from ryesaddle.internal.membership.directory import TargetEntry
+from ryesaddle.internal.membership.fetch_schedule import FetchSchedule
 from ryesaddle.internal.membership.isolation import is_isolated
 from ryesaddle.internal.routing.route import RouteTable
 from ryesaddle.internal.wire.passthrough import Gossip
@@ -81,8 +82,7 @@
         self._last_heard = {}
         self._live_agent_counts = {}
         self._was_isolated = False
-        self._fetched_digests = {}
-        self._fetching = False
+        self._fetch_schedule = FetchSchedule()
         self._tasks = set()
         self.leaving = False
         messages.on(Gossip, self._on_gossip)
@@ -187,6 +187,7 @@
                 del self._last_heard[address]
                 self._live_agent_counts.pop(address, None)
                 entry = self._peers.pop(address)
+                self._fetch_schedule.forget(entry.node)
                 event(log, "balancer-forgotten", balancer=entry.node, address=address)
 
     def _on_gossip(self, msg, addr):
@@ -203,28 +204,25 @@
         self._last_heard[msg.address] = now
         self._live_agent_counts[msg.address] = msg.live_agent_count
         self._route_updater.record_peer_read(msg.node, msg.read_age_ms / 1000, now)
-        if self._should_fetch(msg) and not self._fetching:
-            self._fetched_digests[msg.node] = msg.agents_digest
-            self._fetching = True
-            task = asyncio.get_running_loop().create_task(self._fetch_newer_state(msg))
+        if self._should_fetch(msg, now):
+            task = asyncio.get_running_loop().create_task(self._fetch_from_peer(msg))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    def _should_fetch(self, msg):
-        if msg.version > self._route_updater.version:
-            return True
-        # A difference that remains after a fetch, such as an agent that has already
-        # been removed here, does not cause another one.
-        return msg.agents_digest not in (
+    async def _fetch_from_peer(self, msg):
+        if not await self.fetch_state(msg.control):
+            self._fetch_schedule.forget(msg.node)
+
+    def _should_fetch(self, msg, now):
+        return self._fetch_schedule.fetches_configuration(
+            msg.version, self._route_updater.version, now
+        ) or self._fetch_schedule.fetches_agents(
+            msg.node,
+            msg.agents_digest,
             self._agent_monitor.digest(),
-            self._fetched_digests.get(msg.node),
+            self._agent_monitor.is_complete(),
+            now,
         )
 
-    async def _fetch_newer_state(self, msg):
-        try:
-            await self.fetch_state(msg.control)
-        finally:
-            self._fetching = False
-
     def _now(self):
         return asyncio.get_running_loop().time()
