Find flows by asking many agents at once, without sending packets to foreign targets

A balancer that did not know a flow sent a packet of it to one agent after the other, and each passed it to its target, which does not hold it. With 109 targets that takes up to two seconds at the rate limit of 100 packets a second for all flows, and packets that came while the limit held were dropped.

Change: a balancer first asks agents with a small message (FlowQuery), 8, 16, 32, 64 at a time. An agent that has run since its target's first heartbeat, or for the longest duration of a flow, knows all flows of its target and answers for it; it also returns foreign packets itself. Only agents that started later are probed with a packet. A search that waits for the rate limit keeps its packets and continues by itself, those with the fewest probes first. An agent also learns flows from the packets that its target sends.

An agent that does not answer queries, such as one of the version before, is probed as before. A reset still needs an answer for every agent: the state machine finds the defect of an agent that wrongly claims to know all flows.

Tests that failed on the code before: foreign targets received the packet of a flow held by the agent ranked last of 40; the flow was not found without a retransmission; an agent did not learn a flow from its target.

In the same change: an agent replaces its entry in the store without reading it first, as it read it at its start, and reads it only after a conflict.

--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -5,6 +5,7 @@
 from collections import deque
 
 from ryesaddle.internal.log import event
+from ryesaddle.internal.routing.packet import Flow
 from ryesaddle.internal.target.flows import AnswerStarted, FlowOpened
 from ryesaddle.internal.target.router import (
     Deliver,
@@ -17,6 +18,8 @@
 from ryesaddle.internal.target.sent_packets import SentPackets
 from ryesaddle.internal.wire.passthrough import (
     FlowLocation,
+    FlowQuery,
+    FlowUnknown,
     ForwardedPacket,
     ReturnedPacket,
 )
@@ -81,6 +84,7 @@
         self._pending_confirmations = deque()
         self._target_silent = False
         messages.on(ForwardedPacket, self._on_forwarded_packet)
+        messages.on(FlowQuery, self._on_flow_query)
 
     async def run(self):
         """Remove expired flows until cancelled."""
@@ -115,6 +119,20 @@
         decision = self._router.decide(forwarded, packet, self._now())
         self._execute_decision(decision, forwarded, packet)
 
+    def _on_flow_query(self, query, addr):
+        self._reporter.record_contact(query.balancer)
+        flow, now, node = (
+            Flow(query.caller, query.front),
+            self._now(),
+            self._settings.node,
+        )
+        if flow in self._flows and query.service == self._settings.service:
+            answer = FlowLocation(node, query.service, query.caller, query.front)
+        else:
+            certain = self._router.is_absent(query.service, now)
+            answer = FlowUnknown(node, query.caller, query.front, certain)
+        self._messages.send(query.balancer, answer)
+
     def _execute_decision(self, decision, forwarded, packet):
         match decision:
             case Deliver():
--- a/src/ryesaddle/daemons/passthrough/balancer.py
+++ b/src/ryesaddle/daemons/passthrough/balancer.py
@@ -7,28 +7,32 @@
 from ryesaddle.internal.routing.dispatcher import Discard, Dispatch
 from ryesaddle.internal.routing.packet import Flow
 from ryesaddle.internal.routing.search import (
+    AwaitAnswers,
     Inconclusive,
     NotFound,
-    QueryAgent,
+    ProbeAgent,
+    QueryAgents,
     Searches,
 )
 from ryesaddle.internal.wire.passthrough import (
     Candidate,
     FlowLocation,
+    FlowQuery,
+    FlowUnknown,
     ForwardedPacket,
     ReturnedPacket,
 )
 
 log = logging.getLogger(__name__)
 
-SEARCH_CHECK_INTERVAL_S = 0.05  # half of the timeout of a query to an agent
+SEARCH_CHECK_INTERVAL_S = 0.05  # half of the time that an agent has for an answer
 
 
 class PassthroughBalancer:
     """Forwards callers' packets to agents, and searches for the agent of a flow.
 
-    A balancer that starts has no state of the open flows. It asks the agents one after
-    another which of them holds a flow.
+    A balancer that starts has no state of the open flows. It asks the agents which of
+    them holds a flow.
 
     Parameters
     ----------
@@ -76,17 +80,18 @@
         self.last_packet_at = 0.0
         messages.on(ReturnedPacket, self._on_returned_packet)
         messages.on(FlowLocation, self._on_flow_location)
+        messages.on(FlowUnknown, self._on_flow_unknown)
 
     async def run(self):
-        """Continue searches whose queries have timed out, until cancelled."""
+        """Continue delayed searches until cancelled."""
         while True:
             await asyncio.sleep(SEARCH_CHECK_INTERVAL_S)
             self.continue_searches()
 
     def continue_searches(self):
-        """Query the next agent for each flow whose query has timed out."""
+        """Continue searches that wait for a late answer or for the rate limit."""
         for flow in self._searches.expire_queries(self._now()):
-            self._query_next_agent(flow)
+            self._continue_search(flow)
 
     def on_caller_packet(self, data, addr):
         """Handle a datagram from a caller."""
@@ -169,9 +174,9 @@
             # The agent may be unreachable, or may never have held the flow.
             if self._searches.add(packet, data, service, now):
                 self._searches.skip_agent(packet.flow, member.node)
-                self._query_next_agent(packet.flow)
+                self._continue_search(packet.flow)
         elif self._searches.add(packet, data, service, now):
-            self._query_next_agent(packet.flow)
+            self._continue_search(packet.flow)
 
     def _send_to_agent(self, member, service, data, wants_location=False):
         forwarded = ForwardedPacket(
@@ -181,35 +186,46 @@
         self._placement.liveness.expect_answer(member.node, self._now())
         self._metrics.count("balancer.forwarded")
 
-    def _query_next_agent(self, flow):
+    def _continue_search(self, flow):
         now = self._now()
         search = self._searches[flow]
-        waiting = search.packets[0] if search.packets else None
-        if waiting is None:
+        if not search.packets:
             return
+        waiting = search.packets[0]
         members = self._placement.rank_agents(search.service, flow, False, now)
         match self._searches.next_step(flow, members, self._directory.complete, now):
-            case QueryAgent(node=node, number=number):
-                member = self._directory.find(node)
-                self._send_to_agent(
-                    member, search.service, waiting.payload, wants_location=True
-                )
-                self._metrics.count("balancer.asked")
-                event(
-                    log,
-                    "ask",
-                    flow=flow,
-                    agent=node,
-                    target=member.target,
-                    number=number,
-                    of=len(members),
-                )
+            case QueryAgents(nodes=nodes):
+                self._query_agents(nodes, flow, search.service)
+            case ProbeAgent(node=node, number=number):
+                self._probe_agent(node, waiting, search.service, number)
             case NotFound():
                 self._placement.forget(flow)
                 self._send_reset(waiting.packet, "held-nowhere")
             case Inconclusive(reason=reason):
                 self._placement.forget(flow)
                 self._drop(waiting.packet, reason)
+            case AwaitAnswers():
+                pass
+
+    def _query_agents(self, nodes, flow, service):
+        query = FlowQuery(service, self._settings.peer, flow.caller, flow.front)
+        addresses = [self._directory.find(node).address for node in nodes]
+        self._messages.send_all(addresses, query)
+        self._metrics.count("balancer.queried", len(nodes))
+        event(log, "query", flow=flow, first=nodes[0], agents=len(nodes))
+
+    def _probe_agent(self, node, waiting, service, number):
+        member = self._directory.find(node)
+        self._send_to_agent(member, service, waiting.payload, wants_location=True)
+        self._metrics.count("balancer.probed")
+        event(
+            log,
+            "probe",
+            flow=waiting.packet.flow,
+            agent=node,
+            target=member.target,
+            number=number,
+        )
 
     def _on_returned_packet(self, msg, addr):
         self._placement.liveness.heard(msg.node)
@@ -226,7 +242,18 @@
                 now = self._now()
                 self._searches.add(packet, forwarded.payload, forwarded.service, now)
             if self._searches.record_refusal(packet.flow, msg.node):
-                self._query_next_agent(packet.flow)
+                self._continue_search(packet.flow)
+
+    def _on_flow_unknown(self, msg, addr):
+        self._placement.liveness.heard(msg.node)
+        flow = Flow(msg.caller, msg.front)
+        record = (
+            self._searches.record_refusal
+            if msg.certain
+            else self._searches.record_uncertain
+        )
+        if record(flow, msg.node):
+            self._continue_search(flow)
 
     def _on_flow_location(self, msg, addr):
         self._placement.liveness.heard(msg.node)
@@ -238,9 +265,10 @@
         self._placement.record_agent(flow, msg.node)
         if search is None:
             return
-        event(log, "found", flow=flow, agent=msg.node, asked=len(search.refused_by))
-        # The agent has received the first packet with the query.
-        for waiting in search.packets[1:]:
+        event(log, "found", flow=flow, agent=msg.node, probes=search.probe_count)
+        # A probe has already delivered the first packet.
+        was_probed = search.probed_node == msg.node
+        for waiting in search.packets[1:] if was_probed else search.packets:
             self._send_to_agent(member, search.service, waiting.payload)
 
     def _send_reset(self, packet, reason):
--- a/src/ryesaddle/daemons/passthrough/entry.py
+++ b/src/ryesaddle/daemons/passthrough/entry.py
@@ -45,9 +45,28 @@
         self._rng = rng
         self._desired = None
         self._changed = asyncio.Event()
+        self._stored = None
+        self._knows_stored = False
         self.in_sync = asyncio.Event()
         self.written = False
 
+    def assume_stored(self, stored):
+        """Assume that the store holds this version of the entry.
+
+        The next write is then made without reading the entry before. It replaces no
+        other version; if there is one, the entry is read again.
+
+        Parameters
+        ----------
+        stored : StoreObject or None
+            The entry, None if the store has none.
+        """
+        self._stored, self._knows_stored = stored, True
+
+    def forget_stored(self):
+        """Read the entry before the next write, as another process has changed it."""
+        self._stored, self._knows_stored = None, False
+
     def set_desired(self, entry):
         """Set the desired content: a struct, or None to delete the entry."""
         # In the form that the store returns, since JSON has no tuples.
@@ -68,6 +87,7 @@
             try:
                 await self._reconcile()
             except StoreError as exc:
+                self.forget_stored()
                 warn(
                     log,
                     "entry-not-written",
@@ -84,19 +104,27 @@
 
     async def _reconcile(self):
         desired = self._desired
-        stored = await self._store.get(self._kind, self._name, attempts=1)
+        stored = await self._read_stored()
         version = stored.metadata.resource_version if stored else ""
         if desired is None:
             if stored is not None:
                 await self._store.delete(self._kind, self._name, version)
+                self.assume_stored(None)
                 event(log, "entry-removed", kind=self._kind, name=self._name)
             return
         if stored is not None and stored.spec == desired:
             return
-        await self._store.write(self._kind, self._name, desired, version)
+        written = await self._store.write(self._kind, self._name, desired, version)
+        self.assume_stored(written)
         self.written = True
         event(log, "entry-written", kind=self._kind, name=self._name, spec=desired)
 
+    async def _read_stored(self):
+        if not self._knows_stored:
+            stored = await self._store.get(self._kind, self._name, attempts=1)
+            self.assume_stored(stored)
+        return self._stored
+
 
 async def list_entries(store, kind, struct, stale=False):
     """Return the entries of a kind by name; malformed ones are skipped and logged.
--- a/src/ryesaddle/daemons/passthrough/heartbeat_handler.py
+++ b/src/ryesaddle/daemons/passthrough/heartbeat_handler.py
@@ -10,6 +10,8 @@
 
 log = logging.getLogger(__name__)
 
+FIRST_SEQUENCE = 1  # of the heartbeat that a target sends when it starts
+
 
 class HeartbeatHandler:
     """Handles the target's requests; forwards changes to the balancers and the store.
@@ -44,7 +46,7 @@
         self._metrics = metrics
         self.target_known = asyncio.Event()
         self.on_target_started = lambda: None
-        reporter.set_callbacks(self.restore_target, self.register_target)
+        reporter.set_callbacks(self.restore_target, self.restore_entry)
 
     def restore_target(self, target, draining, source):
         """Restore the target's state as known before this process started."""
@@ -86,6 +88,11 @@
             self._reconciler.set_desired(None)
         return HttpReply(200, b"{}")
 
+    def restore_entry(self):
+        """Write the entry again because the store lacks it."""
+        self._reconciler.forget_stored()
+        self.register_target()
+
     def register_target(self):
         """Write the entry with the current target to the store."""
         if not self._target_state.target:
@@ -113,6 +120,8 @@
             warm_up_s=report.warm_up_s,
         )
         self.target_known.set()
+        if change == "started" and report.sequence == FIRST_SEQUENCE:
+            self._flows.record_target_start(self._now())
         self._reporter.report()
         if change == "started":
             self.on_target_started()
--- a/src/ryesaddle/daemons/passthrough/run_agent.py
+++ b/src/ryesaddle/daemons/passthrough/run_agent.py
@@ -84,7 +84,7 @@
     metrics = Metrics()
     store = StoreClient(api, rng, metrics=metrics)
     target_state = TargetState(settings.service, settings.heartbeat_ms / 1000)
-    flows = TargetFlows()
+    flows = TargetFlows(loop.time(), settings.flow_max_s)
     own_candidate = Candidate(settings.node, settings.peer)
     queue = FlowQueue()
     router = AgentRouter(own_candidate, settings.service, target_state, flows, queue)
@@ -142,7 +142,9 @@
     await asyncio.wait(
         [
             asyncio.ensure_future(
-                _restore_target(store, heartbeat_handler, reporter, settings)
+                _restore_target(
+                    store, heartbeat_handler, reporter, reconciler, settings
+                )
             ),
             asyncio.ensure_future(heartbeat_handler.target_known.wait()),
         ],
@@ -201,9 +203,10 @@
         return
 
 
-async def _restore_target(store, heartbeat_handler, reporter, settings):
+async def _restore_target(store, heartbeat_handler, reporter, reconciler, settings):
     try:
         stored = await store.get(TARGET_KIND, settings.node, attempts=1)
+        reconciler.assume_stored(stored)
         if stored is None:
             return
         entry = msgspec.convert(stored.spec, TargetEntry)
--- a/src/ryesaddle/internal/store/pacing.py
+++ b/src/ryesaddle/internal/store/pacing.py
@@ -26,18 +26,14 @@
         self._tokens -= 1
         return max(0.0, -self._tokens / self._rate)
 
-    def try_take(self, now):
-        """Take one token if one is available; return whether it was taken."""
+    def try_take(self, now, count=1):
+        """Take ``count`` tokens if they are available; return whether they were."""
         self._refill(now)
-        if self._tokens < 1:
+        if self._tokens < count:
             return False
-        self._tokens -= 1
+        self._tokens -= count
         return True
 
-    def put(self, amount):
-        """Add ``amount`` tokens, up to the capacity."""
-        self._tokens = min(self._burst, self._tokens + amount)
-
     def _refill(self, now):
         if self._refilled_at is not None:
             gained = (now - self._refilled_at) * self._rate
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -14,6 +14,7 @@
 MIN_OPENING_TIMEOUT_S = 0.03  # allows for a few scheduling delays on a slow host
 # Twice the time after which a caller repeats its opening packet.
 MAX_OPENING_TIMEOUT_S = 0.4
+DEFAULT_MAX_AGE_S = 60.0
 # Bounds the time that a flow counts if its opening packet was not seen here.
 DEFAULT_TIMEOUT_S = 10.0
 MAX_FLOWS = 20_000  # bounds memory; a target holds 2,000 connections
@@ -68,6 +69,16 @@
     caller, to the first data of the target. Packets may be lost, so a flow also stops
     counting after a timeout; no lost packet makes the count wrong for good.
 
+    The flows that the target accepted before the agent started are not known, until
+    the target sends a packet or is sent one.
+
+    Parameters
+    ----------
+    started_at : float
+        Start of the agent, in seconds on a monotonic clock.
+    max_age_s : float
+        Longest duration of a flow, in seconds.
+
     Attributes
     ----------
     service_s : float
@@ -75,7 +86,9 @@
         seconds.
     """
 
-    def __init__(self):
+    def __init__(self, started_at=0.0, max_age_s=DEFAULT_MAX_AGE_S):
+        self._max_age_s = max_age_s
+        self._complete_from = started_at + max_age_s
         self._flows = OrderedDict()
         self._opening = OrderedDict()
         self._in_flight = 0
@@ -89,6 +102,14 @@
     def __contains__(self, flow):
         return flow in self._flows
 
+    def is_complete(self, now):
+        """Whether every flow that the target holds is known here."""
+        return now >= self._complete_from
+
+    def record_target_start(self, now):
+        """Record that the target has just started and holds no flows yet."""
+        self._complete_from = min(self._complete_from, now)
+
     def in_flight(self, now):
         """Return the number of requests in flight at the target."""
         opening_timeout_s = self._opening_timeout_s()
@@ -121,14 +142,14 @@
         self._flows[flow] = _FlowRecord(now, opening, timeout_s)
         self._opening[flow] = now
         self._in_flight += 1
-        if len(self._flows) > MAX_FLOWS:
-            self._drop(next(iter(self._flows)))
+        self._bound_flows(now)
 
     def record_adopted(self, flow, now):
         """Record that the target holds a flow whose opening packet was not seen."""
         if flow not in self._flows:
             record = self._flows[flow] = _FlowRecord(now, None, DEFAULT_TIMEOUT_S)
             record.in_flight, record.confirmed = False, True
+            self._bound_flows(now)
 
     def record_caller_packet(self, packet, payload, now):
         """Record a packet of an open flow that was sent to the target."""
@@ -162,6 +183,8 @@
         self._unanswered_since = None
         record = self._flows.get(packet.flow)
         if record is None:
+            if not packet.resets:
+                self.record_adopted(packet.flow, now)
             return None
         self._touch(packet.flow, record, now)
         is_first = record.opening_packet is not None
@@ -278,6 +301,11 @@
             record.in_flight = in_flight
             self._in_flight += 1 if in_flight else -1
 
+    def _bound_flows(self, now):
+        if len(self._flows) > MAX_FLOWS:
+            self._drop(next(iter(self._flows)))
+            self._complete_from = now + self._max_age_s
+
     def _drop(self, flow):
         self._opening.pop(flow, None)
         record = self._flows.pop(flow, None)
--- a/src/ryesaddle/internal/target/router.py
+++ b/src/ryesaddle/internal/target/router.py
@@ -155,7 +155,7 @@
         if packet.flow in self._flows:
             return Deliver("held")
         if not packet.opens:
-            return Deliver("asked")
+            return self._decide_unknown_flow(forwarded, now)
         if packet.flow in self._queue:
             return Enqueue("waits")
         if not self.is_open(now):
@@ -167,6 +167,18 @@
             return Deliver("free", notify_balancer)
         return self._offer_to_next(forwarded, packet, notify_balancer, now)
 
+    def is_absent(self, service, now):
+        """Whether the target certainly does not hold a flow that is not known here.
+
+        Parameters
+        ----------
+        service : str
+            Service of the flow.
+        now : float
+            Seconds on a monotonic clock.
+        """
+        return service != self._service or self._flows.is_complete(now)
+
     def record_refusal(self, now):
         """Record that the target refused an opening packet: it is full or has ended.
 
@@ -189,6 +201,11 @@
             return None
         return self._queue.pop_next(self._flows.service_s, now)
 
+    def _decide_unknown_flow(self, forwarded, now):
+        if self.is_absent(forwarded.service, now):
+            return self._return_to_balancer(forwarded, "not-held")
+        return Deliver("asked")
+
     def _deliver_or_queue(self, forwarded, packet, notify_balancer, now):
         if self.has_capacity(now):
             return Deliver("least-loaded", notify_balancer)
--- a/src/ryesaddle/internal/wire/passthrough.py
+++ b/src/ryesaddle/internal/wire/passthrough.py
@@ -225,6 +225,47 @@
     register: bool = False
 
 
+class FlowQuery(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Asks an agent whether it knows that its target holds a flow.
+
+    The answer is a `FlowLocation` or a `FlowUnknown`, without asking the target.
+
+    Attributes
+    ----------
+    service : str
+        Service of the flow.
+    balancer : Address
+        Where the balancer receives messages.
+    caller, front : Address
+        The flow: the caller's address and the address of the service.
+    """
+
+    service: str
+    balancer: Address
+    caller: Address
+    front: Address
+
+
+class FlowUnknown(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Tells a balancer that an agent has no record of a flow.
+
+    Attributes
+    ----------
+    node : str
+        Name of the agent.
+    caller, front : Address
+        The flow: the caller's address and the address of the service.
+    certain : bool
+        Whether the agent knows all flows of its target, so that the target does not
+        hold this one.
+    """
+
+    node: str
+    caller: Address
+    front: Address
+    certain: bool
+
+
 PassthroughMessage = (
     ForwardedPacket
     | ReturnedPacket
@@ -233,6 +274,8 @@
     | AgentReportAck
     | Gossip
     | ReportRequest
+    | FlowQuery
+    | FlowUnknown
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -161,6 +161,51 @@
         self.assertIsNone(await self.client.get(KIND, "side-1"))
         task.cancel()
 
+    async def test_a_known_entry_is_replaced_without_reading_it(self):
+        for stored in (None, await self.client.write(KIND, "side-2", {}, "")):
+            name = "side-1" if stored is None else "side-2"
+            reconciler = EntryReconciler(self.client, KIND, name, random.Random(1))
+            reconciler.assume_stored(stored)
+            task = asyncio.ensure_future(reconciler.run())
+            reads = self.store.calls["read"]
+            for wanted in (entry(), entry(draining=True)):
+                reconciler.set_desired(wanted)
+                await asyncio.wait_for(reconciler.in_sync.wait(), WAIT_S)
+            self.assertEqual(self.store.calls["read"], reads)
+            found = await self.client.get(KIND, name)
+            expected = entry(draining=True)
+            self.assertEqual(msgspec.convert(found.spec, TargetEntry), expected)
+            task.cancel()
+
+    async def test_an_entry_that_another_process_deleted_is_written_again(self):
+        reconciler = EntryReconciler(self.client, KIND, "side-1", random.Random(1))
+        task = asyncio.ensure_future(reconciler.run())
+        reconciler.set_desired(entry())
+        await asyncio.wait_for(reconciler.in_sync.wait(), WAIT_S)
+        held = await self.client.get(KIND, "side-1")
+        await self.client.delete(KIND, "side-1", held.metadata.resource_version)
+        for wanted in (entry(draining=True), entry()):
+            reconciler.forget_stored()
+            reconciler.set_desired(wanted)
+            await asyncio.wait_for(reconciler.in_sync.wait(), WAIT_S)
+            self.assertIsNotNone(await self.client.get(KIND, "side-1"))
+        task.cancel()
+
+    async def test_a_wrong_assumption_about_the_stored_entry_is_corrected(self):
+        held = await self.client.write(KIND, "side-1", {"odd": True}, "")
+        await self.client.write(
+            KIND, "side-1", {"odd": 2}, held.metadata.resource_version
+        )
+        for assumed in (None, held):
+            reconciler = EntryReconciler(self.client, KIND, "side-1", random.Random(1))
+            reconciler.assume_stored(assumed)
+            task = asyncio.ensure_future(reconciler.run())
+            reconciler.set_desired(entry(draining=assumed is None))
+            await asyncio.wait_for(reconciler.in_sync.wait(), WAIT_S)
+            found = await list_entries(self.client, KIND, TargetEntry)
+            self.assertEqual(found, {"side-1": entry(draining=assumed is None)})
+            task.cancel()
+
     async def test_entry_is_written_when_the_store_recovers(self):
         self.store.faults = {"down": True}
         reconciler = EntryReconciler(self.client, KIND, "side-1", random.Random(1))
--- a/tests/routing/test_passthrough.py
+++ b/tests/routing/test_passthrough.py
@@ -16,10 +16,11 @@
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.membership.readiness_gate import ACK_TIMEOUT_S, ReadinessGate
 from ryesaddle.internal.routing.packet import Flow
-from ryesaddle.internal.routing.search import QUERY_TIMEOUT_S, Searches
+from ryesaddle.internal.routing.search import ANSWER_TIMEOUT_S, PROBE_BURST, Searches
+from ryesaddle.internal.target.flows import TargetFlows
 from ryesaddle.internal.target.router import OVERCOMMIT_FLOWS
 from ryesaddle.internal.target.state import TargetState
-from tests.support.packets import returned
+from tests.support.packets import ACK, packet, returned
 from tests.support.passthrough import (
     FRONT,
     OTHER_FRONT,
@@ -173,6 +174,11 @@
         with patch, self.assertRaises(AssertionError):
             run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
 
+    def test_state_machine_detects_an_agent_that_wrongly_claims_to_know_all_flows(self):
+        patch = mock.patch.object(TargetFlows, "is_complete", lambda self, now: True)
+        with patch, self.assertRaises(AssertionError):
+            run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
+
 
 class JoiningAgentTest(unittest.TestCase):
     """An agent joins while one balancer does not know it yet."""
@@ -292,7 +298,7 @@
             world.report(number)
         for _ in range(3):
             self.assertEqual(world.send(1, flow.caller), ([], []))
-            world.pass_time(len(AGENTS) * (QUERY_TIMEOUT_S + 0.05))
+            world.pass_time(len(AGENTS) * (ANSWER_TIMEOUT_S + 0.05))
         self.assertEqual(world.resets, [])
         world.is_lost = lambda source, to: False
         self.assertEqual(world.send(1, flow.caller)[0], [flow])
@@ -310,12 +316,66 @@
         world.send(2, flow.caller)
         world.answers.clear()
         world.send(2, flow.caller)
-        world.pass_time(len(AGENTS) * (QUERY_TIMEOUT_S + 0.05))
+        world.pass_time(len(AGENTS) * (ANSWER_TIMEOUT_S + 0.05))
         self.assertIn(flow, world.answers)
         self.assertEqual(world.resets, [])
         # The balancer has cached the agent that holds the flow.
         self.assertEqual(world.send(2, flow.caller)[0], [flow])
 
+    def open_flow_at_last_agent(self, world):
+        """Open a flow at the agent that is the last one in the order of a search.
+
+        The agents were ranked differently when the flow was opened, as others were
+        open then. Returns the flow and the number of the agent.
+        """
+        flow = Flow(caller(1), FRONT)
+        ranked = world.balancers[2]._placement.rank_agents(
+            SERVICE, flow, False, world.now
+        )
+        number = int(ranked[-1].node.removeprefix("side-"))
+        agent, target = world.agents[number]
+        world.sent_by_callers.add(packet(flow.caller, FRONT, SYN, 5))
+        agent._flows.record_opening(flow, world.now)
+        target.flows.add(flow)
+        return flow, number
+
+    def test_targets_of_agents_that_know_all_their_flows_get_no_foreign_packet(self):
+        # Rule FLOW on trouble-1 of the large deployment: the packets of an open flow
+        # reached one foreign target after another for two seconds.
+        world = started(*range(1, 41))
+        flow, holder = self.open_flow_at_last_agent(world)
+        received = []
+        to_target = world.to_target
+
+        def record(number, data):
+            received.append(number)
+            to_target(number, data)
+
+        world.to_target = record
+        self.assertEqual(world.send(2, flow.caller)[0], [flow])
+        self.assertEqual(received, [holder])
+
+    def test_a_flow_among_many_agents_is_found_without_waiting_for_the_caller(self):
+        """All agents have restarted, and the rate limit of probes binds."""
+        numbers = range(1, 41)
+        world = started(*numbers)
+        flow, _ = self.open_flow_at_last_agent(world)
+        for number in numbers:
+            world.start_agent(number, SERVICE, world.agents[number][1])
+        world.balancers[2]._searches._probe_limiter.try_take(world.now, PROBE_BURST)
+        world.send(2, flow.caller)
+        world.pass_time(1.0)
+        self.assertEqual((world.answers, world.resets), ([flow], []))
+
+    def test_an_agent_learns_a_flow_from_a_packet_of_its_target(self):
+        world = started(1, 2, 3, 4)
+        flow = self.open_flow(world)
+        number = next(n for n, (_, t) in world.agents.items() if flow in t.flows)
+        world.start_agent(number, SERVICE, world.agents[number][1])
+        agent, _ = world.agents[number]
+        agent.on_target_packet(packet(flow.front, flow.caller, ACK, 8), None)
+        self.assertIn(flow, agent._flows)
+
     def test_store_entries_of_removed_agents_do_not_delay_a_search(self):
         world = started(1, 2)
         flow = self.open_flow(world)
--- a/tests/routing/test_search.py
+++ b/tests/routing/test_search.py
@@ -6,14 +6,20 @@
 from ryesaddle.internal.routing.member import Member
 from ryesaddle.internal.routing.packet import Flow, Packet
 from ryesaddle.internal.routing.search import (
+    ANSWER_TIMEOUT_S,
+    FIRST_BATCH,
     IDLE_SEARCH_TIMEOUT_S,
+    MAX_BATCH,
     MAX_QUEUED_PACKETS,
+    PROBE_BURST,
+    PROBES_PER_S,
     QUERY_BURST,
-    QUERY_TIMEOUT_S,
-    UNTHROTTLED_QUERIES,
+    UNTHROTTLED_PROBES,
+    AwaitAnswers,
     Inconclusive,
     NotFound,
-    QueryAgent,
+    ProbeAgent,
+    QueryAgents,
     Searches,
 )
 
@@ -36,6 +42,7 @@
 
 
 MEMBERS = [member(number) for number in range(10)]
+MANY_MEMBERS = [member(number) for number in range(1_000)]
 
 
 class SearchesTest(unittest.TestCase):
@@ -45,30 +52,76 @@
     def add(self, number=1, now=0.0):
         return self.searches.add(Packet(flow(number)), b"packet", "case-desk", now)
 
-    def next_step(self, members=MEMBERS, complete=True, now=0.0):
-        return self.searches.next_step(flow(), members, complete, now)
+    def next_step(self, members=MEMBERS, complete=True, now=0.0, number=1):
+        return self.searches.next_step(flow(number), members, complete, now)
 
-    def refuse_all(self, members, now=0.0):
-        for _ in members:
-            decision = self.next_step(now=now, members=members)
-            self.assertIsInstance(decision, QueryAgent)
-            self.searches.record_refusal(flow(), decision.node)
+    def answer(self, step, uncertain=False, number=1):
+        """Give the same answer for each agent of a step.
 
-    def test_agents_are_queried_in_the_given_order(self):
+        Returns whether the next step is due.
+        """
+        if isinstance(step, ProbeAgent):
+            return self.searches.record_refusal(flow(number), step.node)
+        record = self.searches.record_refusal
+        if uncertain:
+            record = self.searches.record_uncertain
+        return [record(flow(number), node) for node in step.nodes][-1]
+
+    def queried_nodes(self, members, uncertain=False, number=1):
+        """Answer every query; return the nodes of each batch and the last step."""
+        batches = []
+        while isinstance(
+            step := self.next_step(members, number=number), QueryAgents | ProbeAgent
+        ):
+            if isinstance(step, QueryAgents):
+                batches.append(step.nodes)
+            self.answer(step, uncertain, number)
+        return batches, step
+
+    def test_agents_are_queried_once_in_the_given_order(self):
+        self.add()
+        batches, step = self.queried_nodes(MEMBERS)
+        names = [name for batch in batches for name in batch]
+        self.assertEqual(names, [m.node for m in MEMBERS])
+        self.assertEqual(step, NotFound())
+        self.assertEqual(len(self.searches), 0)
+
+    def test_the_number_of_rounds_grows_with_the_logarithm_of_the_agents(self):
+        self.add()
+        batches, _ = self.queried_nodes(MANY_MEMBERS)
+        sizes = [len(batch) for batch in batches]
+        self.assertEqual(sizes[:4], [FIRST_BATCH, 16, 32, 64])
+        self.assertLessEqual(max(sizes), MAX_BATCH)
+        self.assertLess(len(sizes), 20)
+
+    def test_the_next_step_is_due_after_the_last_answer_of_a_batch(self):
         self.add()
-        for number in range(3):
-            self.assertEqual(self.next_step(), QueryAgent(f"side-{number}", number))
-            self.assertTrue(self.searches.record_refusal(flow(), f"side-{number}"))
+        step = self.next_step(MEMBERS[:3])
+        due = [self.searches.record_refusal(flow(), node) for node in step.nodes]
+        self.assertEqual(due, [False, False, True])
+        self.assertFalse(self.searches.record_refusal(flow(2), "side-0"))
 
-    def test_a_flow_that_every_agent_refuses_is_not_found(self):
+    def test_only_agents_that_are_uncertain_are_probed(self):
         self.add()
-        self.refuse_all(MEMBERS[:4])
+        self.next_step(MEMBERS[:4])
+        for number in (0, 3):
+            self.searches.record_refusal(flow(), f"side-{number}")
+        for number in (1, 2):
+            self.searches.record_uncertain(flow(), f"side-{number}")
+        for number in (1, 2):
+            step = self.next_step(MEMBERS[:4])
+            self.assertEqual(step, ProbeAgent(f"side-{number}", number - 1))
+            self.assertTrue(self.answer(step))
         self.assertEqual(self.next_step(MEMBERS[:4]), NotFound())
-        self.assertEqual(len(self.searches), 0)
+
+    def test_uncertain_agents_are_probed_before_further_agents_are_queried(self):
+        self.add()
+        self.answer(self.next_step(), uncertain=True)
+        self.assertEqual(self.next_step(), ProbeAgent("side-0", 0))
 
     def test_the_result_is_inconclusive_while_the_member_list_may_be_incomplete(self):
         self.add()
-        self.refuse_all(MEMBERS[:4])
+        self.answer(self.next_step(MEMBERS[:4]))
         self.assertEqual(
             self.next_step(MEMBERS[:4], complete=False), Inconclusive("agents-unknown")
         )
@@ -76,25 +129,31 @@
             self.next_step([], complete=True), Inconclusive("agents-unknown")
         )
 
-    def test_an_agent_that_does_not_answer_is_skipped_and_queried_again_later(self):
+    def test_an_agent_that_does_not_answer_is_probed_last_and_queried_again_later(self):
+        """An agent of an older version does not answer queries, but probes."""
         self.add()
         self.next_step(MEMBERS[:2])
-        self.assertEqual(self.searches.expire_queries(QUERY_TIMEOUT_S / 2), [])
-        self.assertEqual(self.searches.expire_queries(QUERY_TIMEOUT_S), [flow()])
-        self.assertEqual(self.next_step(MEMBERS[:2]), QueryAgent("side-1", 1))
         self.searches.record_refusal(flow(), "side-1")
-        self.assertEqual(self.next_step(MEMBERS[:2]), Inconclusive("agents-silent"))
-        self.add()
-        self.assertEqual(self.next_step(MEMBERS[:2]), QueryAgent("side-0", 1))
+        self.assertEqual(self.searches.expire_queries(ANSWER_TIMEOUT_S / 2), [])
+        self.assertEqual(self.searches.expire_queries(ANSWER_TIMEOUT_S), [flow()])
+        now = ANSWER_TIMEOUT_S
+        self.assertEqual(self.next_step(MEMBERS[:2], now=now), ProbeAgent("side-0", 0))
+        now += ANSWER_TIMEOUT_S
+        self.assertEqual(self.searches.expire_queries(now), [flow()])
+        self.assertEqual(
+            self.next_step(MEMBERS[:2], now=now), Inconclusive("agents-silent")
+        )
+        self.add(now=now)
+        self.assertEqual(self.next_step(MEMBERS[:2], now=now), QueryAgents(("side-0",)))
 
     def test_a_refusal_after_the_timeout_counts(self):
         self.add()
         self.next_step(MEMBERS[:2])
-        self.searches.expire_queries(QUERY_TIMEOUT_S)
-        self.next_step(MEMBERS[:2])
-        self.assertFalse(self.searches.record_refusal(flow(), "side-0"))
-        self.assertTrue(self.searches.record_refusal(flow(), "side-1"))
-        self.assertEqual(self.next_step(MEMBERS[:2]), NotFound())
+        self.searches.expire_queries(ANSWER_TIMEOUT_S)
+        self.next_step(MEMBERS[:2], now=ANSWER_TIMEOUT_S)
+        self.assertFalse(self.searches.record_refusal(flow(), "side-1"))
+        self.assertTrue(self.searches.record_refusal(flow(), "side-0"))
+        self.assertEqual(self.next_step(MEMBERS[:2], now=0.2), NotFound())
 
     def test_packets_are_queued_up_to_a_limit_during_a_search(self):
         self.assertTrue(self.add())
@@ -105,64 +164,112 @@
         self.assertEqual(len(search.packets), MAX_QUEUED_PACKETS)
         self.assertIsNone(self.searches.finish(flow()))
 
-    def test_each_agent_is_queried_once_however_often_the_caller_sends(self):
+    def test_each_agent_is_asked_once_however_often_the_caller_sends(self):
         asked = []
         for _ in range(5):
             self.add()
-            while isinstance(decision := self.next_step(complete=False), QueryAgent):
-                asked.append(decision.node)
-                self.searches.record_refusal(flow(), decision.node)
+            while isinstance(step := self.next_step(complete=False), QueryAgents):
+                asked.extend(step.nodes)
+                self.answer(step)
         self.assertEqual(asked, [m.node for m in MEMBERS])
 
-    def count_queries(self, number):
-        """Return how many agents are queried until a search ends or pauses."""
+    def count_probes(self, number):
+        """Return how many uncertain agents are probed until a search ends or waits."""
         self.add(number)
-        for count in range(len(MEMBERS) + 1):
-            decision = self.searches.next_step(flow(number), MEMBERS, True, 0.0)
-            if not isinstance(decision, QueryAgent):
-                return count
-            self.searches.record_refusal(flow(number), decision.node)
-        raise AssertionError("search queried more agents than there are")
-
-    def test_only_queries_beyond_the_first_agents_are_rate_limited(self):
-        asked = [self.count_queries(number) for number in range(1_000)]
-        self.assertEqual(min(asked), UNTHROTTLED_QUERIES)
-        self.assertEqual(sum(asked), 1_000 * UNTHROTTLED_QUERIES + QUERY_BURST)
+        count = 0
+        while isinstance(
+            step := self.next_step(number=number), QueryAgents | ProbeAgent
+        ):
+            count += isinstance(step, ProbeAgent)
+            self.answer(step, uncertain=True, number=number)
+        return count
+
+    def test_only_probes_beyond_the_first_agents_are_rate_limited(self):
+        probed = [self.count_probes(number) for number in range(1_000)]
+        self.assertEqual(min(probed), UNTHROTTLED_PROBES)
+        self.assertEqual(sum(probed), 1_000 * UNTHROTTLED_PROBES + PROBE_BURST)
+
+    def test_only_queries_beyond_the_first_batch_are_rate_limited(self):
+        queried = []
+        for number in range(1_000):
+            self.add(number)
+            batches, _ = self.queried_nodes(MANY_MEMBERS, number=number)
+            queried.append(sum(len(batch) for batch in batches))
+        self.assertEqual(min(queried), FIRST_BATCH)
+        self.assertLessEqual(sum(queried), 1_000 * FIRST_BATCH + QUERY_BURST)
+
+    def test_a_throttled_search_keeps_its_packets_and_continues_by_itself(self):
+        for number in range(1_000):
+            self.count_probes(number)
+        self.assertEqual(self.next_step(number=999), AwaitAnswers())
+        self.assertEqual(len(self.searches[flow(999)].packets), 1)
+        now = 1.0
+        due = self.searches.expire_queries(now)
+        self.assertIn(flow(999), due)
+        steps = [self.next_step(now=now, number=f.caller.port) for f in due]
+        probed = sum(isinstance(step, ProbeAgent) for step in steps)
+        self.assertEqual(probed, PROBES_PER_S)
+
+    def test_throttled_searches_with_the_fewest_probes_continue_first(self):
+        self.searches = Searches()
+        counts = [self.count_probes(number) for number in range(100)]
+        due = self.searches.expire_queries(0.0)
+        self.assertEqual(
+            [counts[f.caller.port] for f in due],
+            sorted(counts[f.caller.port] for f in due),
+        )
 
     def test_the_search_of_an_idle_caller_is_dropped(self):
         self.add()
-        self.next_step(MEMBERS[:1])
-        self.searches.record_refusal(flow(), "side-0")
+        self.answer(self.next_step(MEMBERS[:1]))
         self.next_step(MEMBERS[:1], complete=False)
         self.searches.expire_queries(IDLE_SEARCH_TIMEOUT_S)
         self.assertEqual(len(self.searches), 0)
 
     @given(
         holder=st.integers(0, 9) | st.none(),
-        lost=st.lists(st.booleans(), max_size=40),
+        knows_flow=st.booleans(),
+        certain=st.lists(st.booleans(), min_size=10, max_size=10),
+        lost=st.lists(st.booleans(), max_size=80),
         complete=st.booleans(),
     )
     def test_a_flow_that_an_agent_holds_is_never_reported_as_not_found(
-        self, holder, lost, complete
+        self, holder, knows_flow, certain, lost, complete
     ):
         """Answers are lost at random, and the caller sends again after each pause."""
         searches, now = Searches(), 0.0
+
+        def is_lost():
+            return bool(lost) and lost.pop()
+
         for _ in range(6):
             now += 1.0
             searches.add(Packet(flow()), b"", "case-desk", now)
-            for _ in range(2 * len(MEMBERS)):
-                decision = searches.next_step(flow(), MEMBERS, complete, now)
-                if isinstance(decision, NotFound):
-                    self.assertIsNone(holder)
-                    self.assertTrue(complete)
-                    return
-                if isinstance(decision, Inconclusive):
-                    break
-                if lost and lost.pop():
-                    now += QUERY_TIMEOUT_S
-                    searches.expire_queries(now)
-                elif decision.node == f"side-{holder}":
-                    searches.finish(flow())
-                    return
-                else:
-                    searches.record_refusal(flow(), decision.node)
+            for _ in range(4 * len(MEMBERS)):
+                match searches.next_step(flow(), MEMBERS, complete, now):
+                    case NotFound():
+                        self.assertIsNone(holder)
+                        self.assertTrue(complete)
+                        return
+                    case Inconclusive():
+                        break
+                    case AwaitAnswers():
+                        now += ANSWER_TIMEOUT_S
+                        searches.expire_queries(now)
+                    case ProbeAgent(node=node):
+                        if is_lost():
+                            continue
+                        if node == f"side-{holder}":
+                            return
+                        searches.record_refusal(flow(), node)
+                    case QueryAgents(nodes=nodes):
+                        for node in nodes:
+                            if is_lost():
+                                continue
+                            number = int(node.removeprefix("side-"))
+                            if number == holder and knows_flow:
+                                return
+                            if number != holder and certain[number]:
+                                searches.record_refusal(flow(), node)
+                            else:
+                                searches.record_uncertain(flow(), node)
--- a/tests/support/passthrough.py
+++ b/tests/support/passthrough.py
@@ -92,6 +92,9 @@
         self._simulation = simulation
         self._node = node
 
+    def forget_stored(self):
+        pass
+
     def set_desired(self, entry):
         if entry is None:
             self._simulation.entries.pop(self._node, None)
@@ -235,7 +238,7 @@
         )
         target_state, flows, queue = (
             TargetState(service, 0.77),
-            TargetFlows(),
+            TargetFlows(self.now),
             FlowQueue(),
         )
         me = Candidate(node, address)
