--- a/src/ryesaddle/daemons/passthrough/live.py
+++ b/src/ryesaddle/daemons/passthrough/live.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import logging
+import os
 import signal
-from pathlib import Path
 
 import msgspec
 
@@ -36,7 +36,7 @@
     """
 
     def __init__(self, path, kind):
-        self._path = Path(path)
+        self._path = path
         self._kind = kind
         self._signalled = None
         self._settings = load_passthrough_settings(path, kind)
@@ -88,7 +88,7 @@
 
     def _fingerprint(self):
         try:
-            stat = self._path.stat()
+            stat = os.stat(self._path)
         except OSError as exc:
             warn(log, "settings-not-found", path=self._path, reason=exc)
             return None
--- a/src/ryesaddle/daemons/passthrough/settings.py
+++ b/src/ryesaddle/daemons/passthrough/settings.py
@@ -1,7 +1,5 @@
 """Settings of balancers and agents whose targets terminate the flows."""
 
-from pathlib import Path
-
 import msgspec
 
 from ryesaddle.errors import SettingsError
@@ -125,7 +123,8 @@
         With one line that names the file, the field and the remedy.
     """
     try:
-        raw = msgspec.json.decode(Path(path).read_bytes(), type=dict)
+        with open(path, "rb") as file:
+            raw = msgspec.json.decode(file.read(), type=dict)
         return msgspec.convert(_parse_addresses(raw), kind)
     except OSError as exc:
         raise SettingsError(
--- a/src/ryesaddle/platform/objects.py
+++ b/src/ryesaddle/platform/objects.py
@@ -1,6 +1,6 @@
 """The platform's metadata store as an `ObjectApi`."""
 
-from urllib.parse import quote
+import re
 
 import msgspec
 
@@ -19,6 +19,7 @@
 WATCH_WAIT_S = 20.0  # the store permits up to 30 s
 WATCH_ROUND_TRIP_S = 2.0  # added to the wait for the round trip to the store
 ANNOTATIONS = "annotations"
+UNRESERVED = re.compile(r"[A-Za-z0-9._~-]+")  # RFC 3986, section 2.3
 CONTENT = "content"
 
 
@@ -66,12 +67,12 @@
     async def read(self, kind, name, stale=False):
         """Return the `StoreObject`, or None if it does not exist."""
         query = "?allowStale=1" if stale else ""
-        reply = await self._get(f"/{kind}/{quote(name, safe='')}{query}")
+        reply = await self._get(f"/{kind}/{_quote(name)}{query}")
         return None if reply is None else _decode_object(kind, reply.body)
 
     async def read_page(self, kind, after="", stale=False):
         """Return a `Page`; objects that cannot be decoded are skipped."""
-        query = [f"after={quote(after, safe='')}"] if after else []
+        query = [f"after={_quote(after)}"] if after else []
         if stale:
             query.append("allowStale=1")
         path = f"/{kind}" + ("?" + "&".join(query) if query else "")
@@ -95,7 +96,7 @@
         spec = {ANNOTATIONS: obj.metadata.annotations, CONTENT: obj.spec}
         if obj.metadata.resource_version:
             meta["revision"] = int(obj.metadata.resource_version)
-            path = f"/{obj.kind}/{quote(obj.metadata.name, safe='')}"
+            path = f"/{obj.kind}/{_quote(obj.metadata.name)}"
             method = "PUT"
         else:
             method, path = "POST", f"/{obj.kind}"
@@ -105,7 +106,7 @@
 
     async def delete(self, kind, name, version):
         """Delete a version of an object; do nothing if the object does not exist."""
-        path = f"/{kind}/{quote(name, safe='')}?revision={version}"
+        path = f"/{kind}/{_quote(name)}?revision={version}"
         await self._send_write("DELETE", path, None, missing_ok=True)
 
     async def watch(self, kind, version):
@@ -176,6 +177,16 @@
         return reply
 
 
+def _quote(name):
+    """Return a name as a path segment."""
+    if UNRESERVED.fullmatch(name):
+        return name
+    # Imported only for unusual names, since the import delays the start of a process.
+    from urllib.parse import quote
+
+    return quote(name, safe="")
+
+
 def _raise_for_status(reply):
     if reply.status < 300:
         return
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -161,6 +161,11 @@
         self.assertIsNone(await self.client.get(KIND, "side-1"))
         task.cancel()
 
+    async def test_an_object_may_have_any_name(self):
+        for name in ("side-1", "a b", "a/b?c=1", "ü"):
+            await self.client.write(KIND, name, {"node": name}, "")
+            self.assertEqual((await self.client.get(KIND, name)).spec, {"node": name})
+
     async def test_a_known_entry_is_replaced_without_reading_it(self):
         for stored in (None, await self.client.write(KIND, "side-2", {}, "")):
             name = "side-1" if stored is None else "side-2"
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -11,6 +11,8 @@
     "cryptography",
     "capnp",
     "prometheus_client",
+    "pathlib",
+    "urllib.parse",
 )
 ROLES = {
     "balancer": "ryesaddle.daemons.passthrough.run_balancer",
