--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format bench soak binary lock
+.PHONY: demo test lint format bench soak regression binary lock
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -34,6 +34,9 @@
 soak: $(VENV)/.installed
 	$(BIN)/python -m soak --fresh 10 --jobs 2
 
+regression: $(VENV)/.installed
+	$(BIN)/python -m tests.regression $(MODE)
+
 binary: $(VENV)/.installed
 	rm -rf build dist && mkdir -p dist
 	$(BIN)/python -m pip install --quiet --target build/site -r requirements.run.lock
