Query all agents of a service before one is probed

Change: all agents are queried first. Searches that wait for the rate limit continue in the order of the agents asked so far.

--- a/src/ryesaddle/internal/routing/search.py
+++ b/src/ryesaddle/internal/routing/search.py
@@ -1,8 +1,9 @@
 """Finds the agents of flows that a balancer does not know.
 
-The balancer first asks several agents at a time whether they know the flow. Only an
-agent that started after its target may not know a flow that the target holds; such
-an agent is sent a packet of the flow, which its target returns if it does not hold it.
+The balancer first asks all agents, several at a time, whether they know the flow.
+Only an agent that started after its target may not know a flow that the target holds.
+If no agent knows the flow, such agents are sent a packet of it, one after the other;
+a target that does not hold the flow returns the packet.
 """
 
 from collections import OrderedDict
@@ -23,9 +24,8 @@
 FIRST_BATCH = 8
 MAX_BATCH = 64
 # Further queries and probes are mostly for flows that ended with their target. They
-# are rate-limited to leave CPU time for other flows on a small host: 1,000 queries,
-# or 100 probes, cost about 30 ms there.
-QUERIES_PER_S, QUERY_BURST = 1_000.0, 1_000
+# are rate-limited to leave CPU time for other flows on a small host.
+QUERIES_PER_S, QUERY_BURST = 1_000.0, 2_000
 UNTHROTTLED_PROBES = 6
 PROBES_PER_S, PROBE_BURST = 100.0, 100
 
@@ -91,6 +91,11 @@
         """Whether a query or a probe is under way."""
         return bool(self.queried or self.probed_node)
 
+    @property
+    def effort(self):
+        """How many agents were queried and probed so far."""
+        return len(self.tried()) + self.probe_count
+
     def tried(self):
         """Return the agents that need no further query."""
         return (
@@ -231,16 +236,14 @@
             return AwaitAnswers()
         search.throttled = False
         names = [m.node for m in members]
-        uncertain = [name for name in names if name in search.uncertain]
-        if uncertain:
-            return self._probe(search, uncertain[0], now)
         tried = search.tried()
         untried = [name for name in names if name not in tried]
         if untried:
             return self._query(search, untried, now)
-        silent = [name for name in names if name in search.silent]
-        if silent:
-            return self._probe(search, silent[0], now)
+        for unsure in (search.uncertain, search.silent):
+            nodes = [name for name in names if name in unsure]
+            if nodes:
+                return self._probe(search, nodes[0], now)
         if complete and not search.unanswered and members:
             del self._searches[flow]
             return NotFound()
@@ -256,13 +259,13 @@
         Returns
         -------
         list of Flow
-            The flows for which `next_step` is due, those with the fewest probes first:
-            a flow that is held is found by one of the first.
+            The flows for which `next_step` is due, those with the least effort first:
+            a flow that is held is mostly found by one of the first steps.
         """
         due = []
         for flow, search in list(self._searches.items()):
             if search.throttled or self._expire_answers(search, now):
-                due.append((search.probe_count, flow))
+                due.append((search.effort, flow))
             elif (
                 not search.awaits_answer
                 and now - search.last_packet_at >= IDLE_SEARCH_TIMEOUT_S
