Keep a flow known when a full target returns a copy of its opening packet

A target returns an opening packet that it cannot accept. If it had accepted an earlier copy, the agent forgot a flow that the target holds, and as it now answers for its target, a balancer that searches would reset the flow. The test failed before the change; so the agent keeps a flow whose opening the target has answered.

--- a/bench/surge.py
+++ b/bench/surge.py
@@ -469,7 +469,7 @@
         node = f"side-{target.number}"
         flows = self._agents[node][2]
         for flow in list(flows._flows):
-            flows.record_return(flow)
+            flows.record_return(flow, opens=False)
             if self._requests[flow][2] == "open":
                 # The agent checks the flow and notifies the caller, which retries.
                 self._schedule(now + 0.1, self._retry, flow)
--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -286,7 +286,7 @@
             self._metrics.count("agent.return_unknown")
             return
         self._sent_packets.remove(packet.token)
-        self._flows.record_return(sent.flow)
+        self._flows.record_return(sent.flow, sent.opens)
         if sent.opens and self._router.record_refusal(self._now()):
             event(
                 log, "target-refuses", target=self._target_state.target, flow=sent.flow
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -34,9 +34,14 @@
 
 
 class _FlowRecord:
-    """What was seen of one flow; ``confirmed`` means that its opening has completed."""
+    """What was seen of one flow.
+
+    ``accepted`` means that the target has answered the opening packet, ``confirmed``
+    that the opening has completed.
+    """
 
     __slots__ = (
+        "accepted",
         "active_at",
         "answers_begun",
         "confirmed",
@@ -50,6 +55,7 @@
     )
 
     def __init__(self, now, opening_packet, timeout_s):
+        self.accepted = False
         self.active_at = now
         self.answers_begun = 0
         self.in_flight = True
@@ -148,7 +154,7 @@
         """Record that the target holds a flow whose opening packet was not seen."""
         if flow not in self._flows:
             record = self._flows[flow] = _FlowRecord(now, None, DEFAULT_TIMEOUT_S)
-            record.in_flight, record.confirmed = False, True
+            record.in_flight, record.accepted, record.confirmed = False, True, True
             self._bound_flows(now)
 
     def record_caller_packet(self, packet, payload, now):
@@ -188,7 +194,7 @@
             return None
         self._touch(packet.flow, record, now)
         is_first = record.opening_packet is not None
-        record.opening_packet = None
+        record.opening_packet, record.accepted = None, True
         record.ended = record.ended or packet.ends
         elapsed_s = now - record.in_flight_since
         is_served = (packet.has_data or packet.ends) and record.in_flight
@@ -203,9 +209,21 @@
             return AnswerStarted(elapsed_s)
         return FlowOpened(elapsed_s) if is_first else None
 
-    def record_return(self, flow):
-        """Forget a flow because the target has returned a packet of it."""
+    def record_return(self, flow, opens):
+        """Forget a flow because the target has returned a packet of it.
+
+        Parameters
+        ----------
+        flow : Flow
+            The flow.
+        opens : bool
+            Whether the packet opens a flow. A target that has accepted an earlier copy
+            of it, but cannot accept another flow, still holds the flow.
+        """
         self._unanswered_since = None
+        record = self._flows.get(flow)
+        if opens and record is not None and record.accepted:
+            return
         self._drop(flow)
 
     def unanswered_s(self, now):
--- a/tests/target/test_flows.py
+++ b/tests/target/test_flows.py
@@ -11,6 +11,7 @@
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.routing.packet import Flow, Packet
 from ryesaddle.internal.target.flows import (
+    MAX_FLOWS,
     MAX_OPENING_TIMEOUT_S,
     MIN_OPENING_TIMEOUT_S,
     AnswerStarted,
@@ -108,6 +109,51 @@
         self.assertEqual(flows.unanswered_s(1.2), 0.0)
 
 
+class KnownFlowsTest(unittest.TestCase):
+    """A flow that an agent wrongly does not know would be reset at its caller."""
+
+    def test_all_flows_are_known_after_the_longest_duration_of_a_flow(self):
+        flows = TargetFlows(started_at=100.0, max_age_s=60.0)
+        self.assertFalse(flows.is_complete(159.9))
+        self.assertTrue(flows.is_complete(160.0))
+
+    def test_all_flows_are_known_from_the_start_of_the_target(self):
+        flows = TargetFlows(started_at=100.0, max_age_s=60.0)
+        flows.record_target_start(101.0)
+        self.assertTrue(flows.is_complete(101.0))
+        flows.record_target_start(500.0)
+        self.assertTrue(flows.is_complete(300.0))
+
+    def test_not_all_flows_are_known_after_one_was_evicted(self):
+        flows = TargetFlows(started_at=0.0, max_age_s=60.0)
+        for number in range(MAX_FLOWS + 1):
+            flows.record_opening(flow(number), 100.0)
+        self.assertFalse(flows.is_complete(159.9))
+        self.assertTrue(flows.is_complete(160.0))
+
+    def test_a_flow_stays_known_when_a_full_target_returns_a_copy_of_its_opening(self):
+        flows = TargetFlows()
+        flows.record_opening(flow(1), 0.0)
+        flows.record_target_packet(Packet(flow(1), accepts=True), 0.001)
+        flows.record_return(flow(1), opens=True)
+        self.assertIn(flow(1), flows)
+        flows.record_return(flow(1), opens=False)
+        self.assertNotIn(flow(1), flows)
+
+    def test_a_flow_whose_opening_the_target_returns_is_not_known(self):
+        flows = TargetFlows()
+        flows.record_opening(flow(1), 0.0)
+        flows.record_return(flow(1), opens=True)
+        self.assertNotIn(flow(1), flows)
+
+    def test_a_flow_is_known_from_a_packet_of_the_target_but_not_from_a_reset(self):
+        flows = TargetFlows()
+        flows.record_target_packet(Packet(flow(1), has_data=True), 0.0)
+        flows.record_target_packet(Packet(flow(2), resets=True), 0.0)
+        self.assertIn(flow(1), flows)
+        self.assertNotIn(flow(2), flows)
+
+
 class RepeatedPacketsTest(unittest.TestCase):
     def test_only_packets_that_await_an_answer_are_repeated(self):
         flows = TargetFlows()
@@ -143,9 +189,9 @@
         sent = Packet(flow(number), has_data=data, ends=ends, resets=resets)
         self.flows.record_target_packet(sent, self.now)
 
-    @rule(number=numbers)
-    def target_returns(self, number):
-        self.flows.record_return(flow(number))
+    @rule(number=numbers, opens=st.booleans())
+    def target_returns(self, number, opens):
+        self.flows.record_return(flow(number), opens)
 
     @rule(duration_s=st.sampled_from([0.001, 0.05, 0.5, 2.0, 70.0]))
     def pass_time(self, duration_s):
