--- a/bench/surge.py
+++ b/bench/surge.py
@@ -14,6 +14,7 @@
 
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.membership.directory import AgentDirectory
+from ryesaddle.internal.membership.report_schedule import report_interval_s
 from ryesaddle.internal.routing.dispatcher import Discard, Dispatch
 from ryesaddle.internal.routing.packet import Flow, Packet
 from ryesaddle.internal.routing.placement import Placement
@@ -32,17 +33,33 @@
 
 SERVICE = "case-desk"
 SERVICE_ADDRESS = Address("198.18.0.1", 443)
-BALANCER_COUNT = 4
-SLOTS_PER_TARGET = 2
 TARGET_QUEUE_LIMIT = 8  # requests; a target refuses more
 CALLER_LATENCY_S = 0.003  # one way between callers and hosts, from the requirements
 HOP_LATENCY_S = 0.0006
-REPORT_INTERVAL_S = 0.2
 TICK_INTERVAL_S = 0.02
 MAX_RETRIES = 2
-# Log-normal service time of a mix of status checks and submissions.
-SERVICE_TIME_MEAN_S, SERVICE_TIME_SIGMA = 0.0315, 0.5
-LATENCY_OBJECTIVE_S, TIMEOUT_S = 0.15, 1.2
+SERVICE_TIME_SIGMA = 0.5  # of a log-normal distribution
+
+
+class Service(msgspec.Struct, frozen=True, kw_only=True):
+    """Size of the simulated deployment and of its requests.
+
+    Attributes
+    ----------
+    targets, slots, balancers : int
+        Number of targets, requests that each runs at a time, and number of balancers.
+    mean_s : float
+        Mean duration of a request at a target, in seconds.
+    objective_s, timeout_s : float
+        Latency objective of a request, and the longest useful duration, in seconds.
+    """
+
+    targets: int = 7
+    slots: int = 2
+    balancers: int = 4
+    mean_s: float = 0.0315
+    objective_s: float = 0.15
+    timeout_s: float = 1.2
 
 
 class Pattern(msgspec.Struct, frozen=True, kw_only=True):
@@ -56,8 +73,8 @@
         Offered load as a share of the capacity of all targets.
     duration_s : float
         How long callers send requests.
-    targets : int
-        Number of targets.
+    service : Service
+        Size of the deployment.
     power_loss_at, outage_s : float
         When all hosts lose power, and for how long.
     recovery_s, recovery_factor : float
@@ -74,7 +91,7 @@
 
     load: float = 0.6
     duration_s: float = 12.0
-    targets: int = 7
+    service: Service = Service()
     power_loss_at: float = math.inf
     outage_s: float = 0.0
     recovery_s: float = 2.0
@@ -181,12 +198,15 @@
 
     def __init__(self, pattern, policy, seed=1):
         self._pattern = pattern
+        self._service = pattern.service
         self._policy = policy
         self._rng = random.Random(seed)
         self._events = []
         self._event_order = itertools.count()
         self._ports = itertools.count(1)
-        self._targets = [_SimulatedTarget(number) for number in range(pattern.targets)]
+        self._targets = [
+            _SimulatedTarget(number) for number in range(pattern.service.targets)
+        ]
         self._agents = {}
         # By flow: time of the first attempt, number of earlier attempts, and the
         # state "opening", "open" or "over".
@@ -197,13 +217,16 @@
     def run(self):
         """Run the simulation and return its `Outcome`."""
         pattern, at = self._pattern, 0.0
-        rate = pattern.load * pattern.targets * SLOTS_PER_TARGET / SERVICE_TIME_MEAN_S
+        service = self._service
+        rate = pattern.load * service.targets * service.slots / service.mean_s
         while at < pattern.duration_s:
             burst = pattern.burst_at <= at < pattern.burst_at + pattern.burst_s
             factor = pattern.burst_factor if burst else 1.0
             at += self._rng.expovariate(rate * factor)
             self._schedule(at, self._open_flow, at, 0)
-        for number in range(int((pattern.duration_s + TIMEOUT_S) / TICK_INTERVAL_S)):
+        for number in range(
+            int((pattern.duration_s + service.timeout_s) / TICK_INTERVAL_S)
+        ):
             self._schedule(number * TICK_INTERVAL_S, self._tick, number)
         if pattern.power_loss_at < math.inf:
             self._schedule(pattern.power_loss_at, self._lose_power)
@@ -229,7 +252,7 @@
         return start <= now < start + self._pattern.outage_s
 
     def _start_processes(self, now):
-        self._directories = [AgentDirectory() for _ in range(BALANCER_COUNT)]
+        self._directories = [AgentDirectory() for _ in range(self._service.balancers)]
         self._placements = [Placement("dc", d) for d in self._directories]
         for target in self._targets:
             node = f"side-{target.number}"
@@ -241,7 +264,7 @@
             )
             target_state.apply_heartbeat(
                 TargetReport(
-                    f"i-{target.run_number}", SERVICE, 1, slots=SLOTS_PER_TARGET
+                    f"i-{target.run_number}", SERVICE, 1, slots=self._service.slots
                 ),
                 now,
             )
@@ -262,7 +285,7 @@
                 address=own_candidate.address,
                 open=agent_router.is_open(now),
                 load=agent_router.load(now),
-                slots=SLOTS_PER_TARGET,
+                slots=self._service.slots,
                 target=f"i-{target.number}",
                 draining=False,
                 sequence=self._report_sequence,
@@ -274,7 +297,8 @@
     def _tick(self, now, number):
         if self._is_powered_off(now):
             return
-        if number % round(REPORT_INTERVAL_S / TICK_INTERVAL_S) == 0:
+        interval_s = report_interval_s(self._service.targets)
+        if number % round(interval_s / TICK_INTERVAL_S) == 0:
             self._send_reports(now)
         for node in self._agents:
             self._serve_queue(now, node)
@@ -284,7 +308,7 @@
     def _open_flow(self, now, first_at, tries):
         if tries == 0:
             self.outcome.asked += 1
-        if now > first_at + TIMEOUT_S or tries > MAX_RETRIES:
+        if now > first_at + self._service.timeout_s or tries > MAX_RETRIES:
             self.outcome.failed += 1
             return
         flow = Flow(Address("100.64.0.7", next(self._ports)), SERVICE_ADDRESS)
@@ -311,9 +335,9 @@
         if state == "over":
             return
         self._requests[flow][2] = "over"
-        if now <= first_at + LATENCY_OBJECTIVE_S:
+        if now <= first_at + self._service.objective_s:
             self.outcome.in_time += 1
-        elif now <= first_at + TIMEOUT_S:
+        elif now <= first_at + self._service.timeout_s:
             self.outcome.late += 1
         else:
             self.outcome.failed += 1
@@ -323,7 +347,7 @@
     def _route_at_balancer(self, now, flow, copy):
         if self._is_powered_off(now) or self._requests[flow][2] != "opening":
             return
-        balancer_index = hash(flow.caller.port) % BALANCER_COUNT
+        balancer_index = hash(flow.caller.port) % self._service.balancers
         directory, placement = (
             self._directories[balancer_index],
             self._placements[balancer_index],
@@ -343,8 +367,8 @@
             balancer=Address("10.0.1.1", balancer_index),
             payload=b"",
             candidates=tuple(Candidate(m.node, m.address) for m in others),
-            objective_ms=round(LATENCY_OBJECTIVE_S * 1000),
-            timeout_ms=round(TIMEOUT_S * 1000),
+            objective_ms=round(self._service.objective_s * 1000),
+            timeout_ms=round(self._service.timeout_s * 1000),
         )
         self._schedule(
             now + HOP_LATENCY_S,
@@ -404,7 +428,7 @@
             updated = msgspec.structs.replace(forwarded, asked=asked)
             self._send_to_next_agent(now, updated, flow, copy)
             return
-        flows.record_opening(flow, now, forwarded, TIMEOUT_S)
+        flows.record_opening(flow, now, forwarded, self._service.timeout_s)
         flows.record_target_packet(Packet(flow, accepts=True), now)
         if self._requests[flow][2] == "opening":
             self._requests[flow][2] = "open"
@@ -428,7 +452,7 @@
             return
         request = Packet(flow, has_data=True, sequence_number=1)
         flows.record_caller_packet(request, b"", now)
-        if target.running < SLOTS_PER_TARGET:
+        if target.running < self._service.slots:
             self._start_request(now, node, flow)
         elif len(target.queue) < TARGET_QUEUE_LIMIT:
             target.queue.append(flow)
@@ -440,7 +464,7 @@
         target = self._agents[node][0]
         target.running += 1
         target.started_requests += 1
-        log_mean = math.log(SERVICE_TIME_MEAN_S) - SERVICE_TIME_SIGMA**2 / 2
+        log_mean = math.log(self._service.mean_s) - SERVICE_TIME_SIGMA**2 / 2
         processing_s = self._rng.lognormvariate(log_mean, SERVICE_TIME_SIGMA)
         power_restored_at = self._pattern.power_loss_at + self._pattern.outage_s
         if power_restored_at <= now < power_restored_at + self._pattern.recovery_s:
@@ -511,22 +535,24 @@
     return total
 
 
+def describe_outcome(pattern, policy, outcome):
+    """Return a row with the shares of an `Outcome`."""
+    return {
+        "pattern": pattern,
+        "policy": policy,
+        "asked": outcome.asked,
+        "in_time": round(outcome.in_time / outcome.asked, 4),
+        "late": round(outcome.late / outcome.asked, 4),
+        "failed": round(outcome.failed / outcome.asked, 4),
+        "payoff": round(outcome.payoff, 4),
+        "busiest": round(outcome.busiest, 3),
+    }
+
+
 def run_surge():
     """Return one row for each pattern and policy."""
-    rows = []
-    for name, pattern in PATTERNS.items():
-        for policy_name, policy in POLICIES.items():
-            outcome = simulate_pattern(pattern, policy)
-            rows.append(
-                {
-                    "pattern": name,
-                    "policy": policy_name,
-                    "asked": outcome.asked,
-                    "in_time": round(outcome.in_time / outcome.asked, 4),
-                    "late": round(outcome.late / outcome.asked, 4),
-                    "failed": round(outcome.failed / outcome.asked, 4),
-                    "payoff": round(outcome.payoff, 4),
-                    "busiest": round(outcome.busiest, 3),
-                }
-            )
-    return rows
+    return [
+        describe_outcome(name, policy_name, simulate_pattern(pattern, policy))
+        for name, pattern in PATTERNS.items()
+        for policy_name, policy in POLICIES.items()
+    ]
--- a/tests/bench/test_benchmarks.py
+++ b/tests/bench/test_benchmarks.py
@@ -1,9 +1,12 @@
 """Benchmarks of single steps run to their end."""
 
+import io
+import json
 import unittest
+from contextlib import redirect_stdout
 from unittest import mock
 
-from bench import datapath, passthrough
+from bench import datapath, experiment, passthrough
 
 
 class DatapathTest(unittest.TestCase):
@@ -32,3 +35,17 @@
             rows = passthrough.run_passthrough()
         self.assertTrue(all(len(row["points"]) == 2 for row in rows[:-1]))
         self.assertGreater(rows[-1]["report, bytes"], 0)
+
+
+class ExperimentTest(unittest.TestCase):
+    def test_a_pattern_is_simulated_at_the_size_of_the_arguments(self):
+        size = ["--targets", "20", "--slots", "1", "--balancers", "9", "--seeds", "1"]
+        output = io.StringIO()
+        with redirect_stdout(output):
+            experiment.app(
+                ["calm", *size, "--load", "0.3"], result_action="return_none"
+            )
+        row = json.loads(output.getvalue())
+        # 12 s of 0.3 x 20 requests of 31.5 ms at a time
+        self.assertAlmostEqual(row["asked"] / (12 * 0.3 * 20 / 0.0315), 1, delta=0.1)
+        self.assertGreater(row["in_time"], 0.99)
