Bound how many waiting searches are continued at one check

Cause: found by reading. A search that waits for a rate limit keeps its packets and was continued every 50 ms, each time with a sort of all agents, however many waited: 500 such searches at 109 agents would take over a core. The searches of idle callers were not dropped either while they waited.

Change: at most eight of them are continued at a check, those with the least effort; the rate limits permit no more steps anyway.

--- a/src/ryesaddle/internal/routing/search.py
+++ b/src/ryesaddle/internal/routing/search.py
@@ -28,6 +28,9 @@
 QUERIES_PER_S, QUERY_BURST = 1_000.0, 2_000
 UNTHROTTLED_PROBES = 6
 PROBES_PER_S, PROBE_BURST = 100.0, 100
+# Searches that wait for a rate limit and are continued at one check. Each costs a sort
+# of the agents, and the limits permit about as many steps between two checks.
+MAX_RESUMED_SEARCHES = 8
 
 
 class QueuedPacket(msgspec.Struct, frozen=True):
@@ -259,20 +262,22 @@
         Returns
         -------
         list of Flow
-            The flows for which `next_step` is due, those with the least effort first:
-            a flow that is held is mostly found by one of the first steps.
+            The flows for which `next_step` is due. Of those that wait for a rate
+            limit, the ones with the least effort: a flow that is held is mostly found
+            by one of the first steps.
         """
-        due = []
+        due, throttled = [], []
         for flow, search in list(self._searches.items()):
-            if search.throttled or self._expire_answers(search, now):
-                due.append((search.effort, flow))
-            elif (
-                not search.awaits_answer
-                and now - search.last_packet_at >= IDLE_SEARCH_TIMEOUT_S
-            ):
+            if self._expire_answers(search, now):
+                due.append(flow)
+            elif search.awaits_answer:
+                continue
+            elif now - search.last_packet_at >= IDLE_SEARCH_TIMEOUT_S:
                 del self._searches[flow]
-        due.sort(key=lambda item: item[0])
-        return [flow for _, flow in due]
+            elif search.throttled:
+                throttled.append(flow)
+        throttled.sort(key=lambda flow: self._searches[flow].effort)
+        return due + throttled[:MAX_RESUMED_SEARCHES]
 
     def _query(self, search, untried, now):
         batch = untried[: search.batch_size]
--- a/tests/routing/test_search.py
+++ b/tests/routing/test_search.py
@@ -11,6 +11,7 @@
     IDLE_SEARCH_TIMEOUT_S,
     MAX_BATCH,
     MAX_QUEUED_PACKETS,
+    MAX_RESUMED_SEARCHES,
     PROBE_BURST,
     PROBES_PER_S,
     QUERY_BURST,
@@ -211,21 +212,37 @@
         members = MEMBERS[:FIRST_BATCH]
         self.assertEqual(self.next_step(members, number=999), AwaitAnswers())
         self.assertEqual(len(self.searches[flow(999)].packets), 1)
-        now = 1.0
-        due = self.searches.expire_queries(now)
-        self.assertIn(flow(999), due)
-        steps = [self.next_step(members, now=now, number=f.caller.port) for f in due]
-        probed = sum(isinstance(step, ProbeAgent) for step in steps)
-        self.assertEqual(probed, PROBES_PER_S)
+        interval_s, checks, continued = 0.05, 80, set()
+        for check in range(checks):
+            now = 1.0 + check * interval_s
+            due = self.searches.expire_queries(now)
+            self.assertLessEqual(len(due), MAX_RESUMED_SEARCHES)
+            for found in due:
+                step = self.next_step(members, now=now, number=found.caller.port)
+                if isinstance(step, ProbeAgent):
+                    self.searches.finish(found)
+                    continued.add(found)
+        permitted = PROBES_PER_S * (1.0 + (checks - 1) * interval_s)
+        self.assertAlmostEqual(len(continued), permitted, delta=1)
+
+    def test_a_throttled_search_of_an_idle_caller_is_dropped(self):
+        for number in range(1_000):
+            self.count_probes(number)
+        self.assertEqual(self.searches.expire_queries(IDLE_SEARCH_TIMEOUT_S), [])
+        self.assertEqual(len(self.searches), 0)
 
     def test_throttled_searches_with_the_least_effort_continue_first(self):
         for number in range(100):
             self.add(number)
             self.queried_nodes(MANY_MEMBERS, number=number)
-        due = self.searches.expire_queries(0.0)
-        efforts = [self.searches[flow].effort for flow in due]
+        waiting = [flow(n) for n in range(100) if flow(n) in self.searches]
+        efforts = sorted(self.searches[found].effort for found in waiting)
         self.assertGreater(len(set(efforts)), 1)
-        self.assertEqual(efforts, sorted(efforts))
+        due = self.searches.expire_queries(0.0)
+        self.assertEqual(
+            [self.searches[found].effort for found in due],
+            efforts[:MAX_RESUMED_SEARCHES],
+        )
 
     def test_the_search_of_an_idle_caller_is_dropped(self):
         self.add()
