Give each test run ports of its own

Both runs chose ports at random from one range and bound them later. The new test, nine processes that choose 150 ports each, found 35 chosen twice before.

Change: a process claims blocks of 200 ports by binding the first of each.

--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -27,24 +27,45 @@
 # Below the ephemeral ports, which Linux assigns from 32768 on by default: an outgoing
 # connection cannot take a port between its choice and its use.
 PORT_RANGE = range(10_000, 32_000)
-_allocated_ports = set()
+PORT_BLOCK = 200
+_block_locks = []
+_block_ports = []
 
 
 def free_port(kind=socket.SOCK_STREAM, host="127.0.0.1"):
-    """Return an unbound port that this process has not been given before."""
+    """Return an unbound port that no other test process has been given.
+
+    Ports are taken from blocks that belong to this process, so that two test runs on
+    the same machine cannot choose the same port before either has bound it.
+    """
     while True:
-        port = random.SystemRandom().choice(PORT_RANGE)
-        if port in _allocated_ports:
-            continue
+        if not _block_ports:
+            _block_ports.extend(_claim_block())
+        port = _block_ports.pop()
         with socket.socket(socket.AF_INET, kind) as sock:
             try:
                 sock.bind((host, port))
             except OSError:
                 continue
-        _allocated_ports.add(port)
         return port
 
 
+def _claim_block():
+    """Return the ports of a block, whose first port stays bound as a lock."""
+    starts = list(PORT_RANGE[::PORT_BLOCK])
+    random.SystemRandom().shuffle(starts)
+    for start in starts:
+        lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            lock.bind(("127.0.0.1", start))
+        except OSError:
+            lock.close()
+            continue
+        _block_locks.append(lock)
+        return range(start + 1, start + PORT_BLOCK)
+    raise AssertionError("every block of ports is in use; end other test runs")
+
+
 class Deployment:
     """The processes of a deployment, each signalled by its own process ID.
 
