Add messages for flow lookups, evacuations, store eras and load forecasts

Cause: the parts described in docs/design/hard-load.md are built side by side and share these messages. Change: new message types with tags 10 to 12, and appended fields with defaults in AgentReport, AgentReportAck and Gossip, so that processes of both versions understand each other. Nothing sends them yet.

--- a/src/ryesaddle/internal/wire/passthrough.py
+++ b/src/ryesaddle/internal/wire/passthrough.py
@@ -9,6 +9,7 @@
 
 from ryesaddle.errors import WireError
 from ryesaddle.internal.address import Address
+from ryesaddle.internal.config.evacuation import EvacuationState
 
 
 class Candidate(msgspec.Struct, frozen=True, array_like=True):
@@ -129,6 +130,10 @@
         Whether the balancer is asked for an `AgentReportAck`.
     gone : bool
         Whether the agent exits permanently because its target has ended.
+    work_s : float
+        Expected time of a request that finds a free slot, in seconds; 0 if unknown.
+    forecast : float
+        Expected number of further requests in flight from open flows, per slot.
     """
 
     node: str
@@ -145,6 +150,8 @@
     interval_s: float = 0.2
     wants_ack: bool = False
     gone: bool = False
+    work_s: float = 0.0
+    forecast: float = 0.0
 
 
 class AgentReportAck(msgspec.Struct, frozen=True, array_like=True, tag=5):
@@ -163,6 +170,12 @@
         Whether that target was about to stop.
     interval_s : float
         Interval at which the balancer wants reports, in seconds.
+    store_era : int
+        Latest era of the store that the balancer has seen.
+    evacuation : EvacuationState or None
+        The evacuated data centres, if the balancer knows them.
+    warm_up_per_s : float
+        Requests per second that the target bears while it warms up; 0 if unlimited.
     """
 
     node: str
@@ -170,6 +183,9 @@
     target: str = ""
     draining: bool = False
     interval_s: float = 0.2
+    store_era: int = 0
+    evacuation: EvacuationState | None = None
+    warm_up_per_s: float = 0.0
 
 
 class Gossip(msgspec.Struct, frozen=True, array_like=True, tag=6):
@@ -193,6 +209,10 @@
         Number of agents that have reported to it lately.
     leaving : bool
         Whether it is about to stop.
+    store_era : int
+        Latest era of the store that it has seen.
+    evacuation : EvacuationState or None
+        The evacuated data centres, if it knows them.
     """
 
     node: str
@@ -205,6 +225,8 @@
     agents_digest: int = 0
     live_agent_count: int = 0
     leaving: bool = False
+    store_era: int = 0
+    evacuation: EvacuationState | None = None
 
 
 class ReportRequest(msgspec.Struct, frozen=True, array_like=True, tag=7):
@@ -266,6 +288,77 @@
     certain: bool
 
 
+class FlowId(msgspec.Struct, frozen=True, array_like=True):
+    """A flow: the caller's address and the address of the service."""
+
+    caller: Address
+    front: Address
+
+
+class LookupItem(msgspec.Struct, frozen=True, array_like=True):
+    """One flow of a `FlowLookup`.
+
+    Attributes
+    ----------
+    caller, front : Address
+        The flow.
+    payload : bytes
+        A packet of the flow, for the target if the agent has no record of the flow.
+    """
+
+    caller: Address
+    front: Address
+    payload: bytes
+
+
+class FlowLookup(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Asks an agent which of several flows its target holds.
+
+    Other than with a `FlowQuery`, the agent asks its target about flows of which it
+    has no record, unless it knows all flows of the target.
+
+    Attributes
+    ----------
+    balancer : Address
+        Where the balancer receives messages.
+    items : tuple of LookupItem
+        The flows.
+    """
+
+    balancer: Address
+    items: tuple[LookupItem, ...]
+
+
+class FlowLookupResult(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Answers a `FlowLookup`, for some of its flows or for all.
+
+    Attributes
+    ----------
+    node : str
+        Name of the agent.
+    held, absent, unsure : tuple of FlowId
+        Flows that the target holds, that it does not hold, and those of which the
+        agent cannot tell.
+    """
+
+    node: str
+    held: tuple[FlowId, ...] = ()
+    absent: tuple[FlowId, ...] = ()
+    unsure: tuple[FlowId, ...] = ()
+
+
+class EvacuationUpdate(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Tells an agent which data centres are evacuated.
+
+    Attributes
+    ----------
+    evacuation : EvacuationState
+        The state that the sending balancer knows.
+    """
+
+    evacuation: EvacuationState
+
+
 PassthroughMessage = (
     ForwardedPacket
     | ReturnedPacket
@@ -276,6 +369,9 @@
     | ReportRequest
     | FlowQuery
     | FlowUnknown
+    | FlowLookup
+    | FlowLookupResult
+    | EvacuationUpdate
 )
 
 _encoder = msgspec.msgpack.Encoder()
