--- a/src/ryesaddle/internal/wire/passthrough.py
+++ b/src/ryesaddle/internal/wire/passthrough.py
@@ -339,12 +339,16 @@
     held, absent, unsure : tuple of FlowId
         Flows that the target holds, that it does not hold, and those of which the
         agent cannot tell.
+    presumed : tuple of FlowId
+        Flows of which the agent has no record, but whose packet the target has not
+        returned.
     """
 
     node: str
     held: tuple[FlowId, ...] = ()
     absent: tuple[FlowId, ...] = ()
     unsure: tuple[FlowId, ...] = ()
+    presumed: tuple[FlowId, ...] = ()
 
 
 class EvacuationUpdate(msgspec.Struct, frozen=True, array_like=True, tag=12):
