Treat an opening packet of a reused port as a new flow

Cause: an agent remembers a flow for up to 60 s after its end and delivered any opening packet of it to its target. A balancer sends such a packet to the agent it has cached. A caller that reused its port thus reached a draining target.

Change: an opening packet follows the first one only if it has the same sequence number, arrives within 2 s of the first, and the flow has not ended. Any other one is decided as a new flow, and the agent forgets the earlier flow of the port. A copy that arrives after the flow was confirmed still goes to the same target: elsewhere it would open a second flow with the same addresses. The packet simulation gives each opening packet that is not a copy another sequence number, and the state machine reuses ports.

--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -116,7 +116,10 @@
         if packet is None:
             self._metrics.count("agent.malformed")
             return
-        decision = self._router.decide(forwarded, packet, self._now())
+        now = self._now()
+        decision = self._router.decide(forwarded, packet, now)
+        if packet.opens:
+            self._flows.remove_superseded(packet, now)
         self._execute_decision(decision, forwarded, packet)
 
     def _on_flow_query(self, query, addr):
@@ -161,7 +164,11 @@
         now = self._now()
         if packet.opens:
             self._flows.record_opening(
-                packet.flow, now, forwarded, forwarded.timeout_ms / 1000
+                packet.flow,
+                now,
+                forwarded,
+                forwarded.timeout_ms / 1000,
+                packet.sequence_number,
             )
             target, waited_ms = self._target_state.target, round(waited_s * 1000)
             self._log_decision("accept", packet, decision.reason, target, waited_ms)
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -14,6 +14,9 @@
 MIN_OPENING_TIMEOUT_S = 0.03  # allows for a few scheduling delays on a slow host
 # Twice the time after which a caller repeats its opening packet.
 MAX_OPENING_TIMEOUT_S = 0.4
+# A caller sends copies of an opening packet for 0.6 s and gives up after 1.4 s. Less than
+# the 3 s within which a draining target may still get opening packets.
+COPY_PERIOD_S = 2.0
 DEFAULT_MAX_AGE_S = 60.0
 # Bounds the time that a flow counts if its opening packet was not seen here.
 DEFAULT_TIMEOUT_S = 10.0
@@ -50,18 +53,22 @@
         "in_flight_since",
         "last_payload",
         "last_position",
+        "opened_at",
         "opening_packet",
+        "opening_sequence_number",
         "timeout_s",
     )
 
-    def __init__(self, now, opening_packet, timeout_s):
+    def __init__(self, now, opening_packet, timeout_s, opening_sequence_number=None):
         self.accepted = False
         self.active_at = now
         self.answers_begun = 0
         self.in_flight = True
         self.confirmed = False
         self.ended = False
+        self.opened_at = now
         self.opening_packet = opening_packet
+        self.opening_sequence_number = opening_sequence_number
         self.last_payload = None
         self.last_position = None
         self.timeout_s = timeout_s
@@ -127,7 +134,35 @@
             self._set_in_flight(self._flows[flow], False)
         return self._in_flight
 
-    def record_opening(self, flow, now, opening=None, timeout_s=DEFAULT_TIMEOUT_S):
+    def is_copy(self, packet, now):
+        """Whether an opening packet is a copy of the one that opened a known flow.
+
+        Callers reuse ports. An opening packet with another sequence number opens a new
+        flow, as does one that arrives after the flow has ended or later than any copy.
+
+        Parameters
+        ----------
+        packet : Packet
+            The opening packet.
+        now : float
+            Seconds on a monotonic clock.
+        """
+        record = self._flows.get(packet.flow)
+        if record is None or record.ended:
+            return False
+        return (
+            record.opening_sequence_number == packet.sequence_number
+            and now - record.opened_at < COPY_PERIOD_S
+        )
+
+    def remove_superseded(self, packet, now):
+        """Forget the flow whose port the caller reuses for a new opening packet."""
+        if not self.is_copy(packet, now):
+            self._drop(packet.flow)
+
+    def record_opening(
+        self, flow, now, opening=None, timeout_s=DEFAULT_TIMEOUT_S, sequence_number=0
+    ):
         """Record that an opening packet was sent to the target.
 
         Parameters
@@ -140,12 +175,14 @@
             The packet, to be sent elsewhere if the target does not answer.
         timeout_s : float
             Time after which a request counts as lost, in seconds.
+        sequence_number : int
+            Sequence number of the packet, which its copies share.
         """
         if self._unanswered_since is None:
             self._unanswered_since = now
         if flow in self._flows:
             return
-        self._flows[flow] = _FlowRecord(now, opening, timeout_s)
+        self._flows[flow] = _FlowRecord(now, opening, timeout_s, sequence_number)
         self._opening[flow] = now
         self._in_flight += 1
         self._bound_flows(now)
--- a/src/ryesaddle/internal/target/router.py
+++ b/src/ryesaddle/internal/target/router.py
@@ -152,9 +152,12 @@
         """
         if forwarded.service != self._service:
             return self._return_to_balancer(forwarded, "other-service")
-        if packet.flow in self._flows:
+        if packet.opens:
+            if self._flows.is_copy(packet, now):
+                return Deliver("held")
+        elif packet.flow in self._flows:
             return Deliver("held")
-        if not packet.opens:
+        else:
             return self._decide_unknown_flow(forwarded, now)
         if packet.flow in self._queue:
             return Enqueue("waits")
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -139,6 +139,29 @@
         self.assertEqual(len(draining_target.opened), before)
         self.assertGreaterEqual(len(ready_target.opened), 6)
 
+    async def test_a_reused_port_opens_no_flow_at_a_draining_target(self):
+        deployment = self.deployment
+        host, port = deployment.balancer_hosts[0], None
+        draining_target, _ = deployment.targets
+        while not draining_target.opened:
+            port = await deployment.open_flow(host)
+            await deployment.request(host, port, b"hello")
+        draining_target.state = "draining"
+        seen = draining_target.acknowledged
+        await deployment.wait_until(lambda: draining_target.acknowledged > seen + 1)
+        draining_target.flows.clear()
+        before = len(draining_target.opened)
+        deployment.caller.received.pop(port)
+        deployment.caller.send(
+            deployment.at(host, "callers"),
+            port,
+            SYN,
+            SERVICE_ADDRESSES["case-desk"],
+            seq=90_000,
+        )
+        await deployment.wait_until(lambda: deployment.caller.is_open(port))
+        self.assertEqual(len(draining_target.opened), before)
+
     async def draining_is_stored(self):
         found = await self.deployment.get(self.deployment.agent_hosts[0], "/status")
         log = self.deployment.log(self.deployment.agent_hosts[0])
--- a/tests/routing/test_passthrough.py
+++ b/tests/routing/test_passthrough.py
@@ -17,7 +17,7 @@
 from ryesaddle.internal.membership.readiness_gate import ACK_TIMEOUT_S, ReadinessGate
 from ryesaddle.internal.routing.packet import Flow
 from ryesaddle.internal.routing.search import ANSWER_TIMEOUT_S, PROBE_BURST, Searches
-from ryesaddle.internal.target.flows import TargetFlows
+from ryesaddle.internal.target.flows import COPY_PERIOD_S, TargetFlows
 from ryesaddle.internal.target.router import OVERCOMMIT_FLOWS
 from ryesaddle.internal.target.state import TargetState
 from tests.support.packets import ACK, packet, returned
@@ -68,11 +68,20 @@
         self.flows = 0
         self.targets = 10
         self.open = {}
+        self.closed = []
 
     @rule(balancer=balancers, copy=st.integers(0, 2))
     def open_flow(self, balancer, copy):
         self.flows += 1
-        address = caller(self.flows)
+        self.send_opening_packet(balancer, caller(self.flows), copy)
+
+    @precondition(lambda self: self.closed)
+    @rule(balancer=balancers, index=st.integers(0, 30))
+    def reuse_port(self, balancer, index):
+        flow = self.closed.pop(index % len(self.closed))
+        self.send_opening_packet(balancer, flow.caller)
+
+    def send_opening_packet(self, balancer, address, copy=0):
         self.world.send(balancer, address, SYN, copy=copy)
         flow = Flow(address, FRONT)
         target = self.world.target_of(flow)
@@ -107,6 +116,7 @@
     def close_flow(self, index):
         flow = list(self.open)[index % len(self.open)]
         self.open.pop(flow).flows.discard(flow)
+        self.closed.append(flow)
 
     @rule(number=agents, informed=st.sets(balancers), confirmed=st.booleans())
     def add_agent(self, number, informed, confirmed):
@@ -428,6 +438,56 @@
         return Flow(caller(number), FRONT)
 
 
+class ReusedPortTest(unittest.TestCase):
+    def open_and_drain(self, confirmed):
+        """Open a flow whose target then drains.
+
+        Returns the world, the flow and the number of its agent.
+        """
+        world = started(1, 2)
+        world.send(1, caller(1), SYN)
+        flow = Flow(caller(1), FRONT)
+        number = next(n for n, (_, t) in world.agents.items() if flow in t.flows)
+        if confirmed:
+            world.send(1, flow.caller)
+        world.agents[number][1].draining = True
+        world.heartbeat(number)
+        return world, flow, number
+
+    def test_a_reused_port_opens_no_flow_at_a_draining_target(self):
+        # The agent remembered the earlier flow of the port for up to 60 s and sent its
+        # target the opening packet of the next one.
+        for confirmed in (False, True):
+            world, flow, number = self.open_and_drain(confirmed)
+            draining_target = world.agents[number][1]
+            draining_target.flows.discard(flow)
+            answers, resets = world.send(1, flow.caller, SYN)
+            self.assertEqual((answers, resets), ([flow], []))
+            self.assertEqual(draining_target.accepted_while_draining, [])
+            for balancer in BALANCERS:
+                self.assertEqual(world.send(balancer, flow.caller), ([flow], []))
+
+    def test_a_copy_follows_the_first_opening_packet_to_a_draining_target(self):
+        # At another target it would open a second flow with the same addresses.
+        for confirmed in (False, True):
+            world, flow, number = self.open_and_drain(confirmed)
+            world.send(1, flow.caller, SYN, copy=1)
+            holders = [n for n, (_, t) in world.agents.items() if flow in t.flows]
+            self.assertEqual(holders, [number])
+
+    def test_an_opening_packet_later_than_any_copy_opens_a_new_flow(self):
+        # Callers may begin each flow with the same sequence number.
+        world, flow, number = self.open_and_drain(confirmed=True)
+        draining_target = world.agents[number][1]
+        draining_target.flows.discard(flow)
+        world.now += COPY_PERIOD_S
+        for n in (1, 2):
+            world.report(n)
+        world.send(1, flow.caller, SYN, copy=1)
+        self.assertEqual(draining_target.accepted_while_draining, [])
+        self.assertIs(world.target_of(flow), world.agents[3 - number][1])
+
+
 class ServiceTest(unittest.TestCase):
     def test_a_reused_address_gets_no_packets_of_the_previous_service(self):
         world = started(1, 2)
--- a/tests/support/passthrough.py
+++ b/tests/support/passthrough.py
@@ -150,6 +150,7 @@
         self._queue = deque()
         self._by_address = {}
         self._agent_starts = 0
+        self._sequence_numbers = {}
 
     def enqueue(self, source, address, data):
         self._queue.append((source, address, data))
@@ -329,9 +330,14 @@
     def send(self, balancer, caller, flags=ACK, front=FRONT, copy=0, data=b""):
         """Send a caller's packet through a balancer.
 
-        Returns the flows of the answers and of the resets that it led to.
+        Each opening packet that is not a copy gets another sequence number. Returns the
+        flows of the answers and of the resets that the packet led to.
         """
-        sent = packet(caller, front, flags, 5, copy, data)
+        sequence_number = self._sequence_numbers.setdefault(caller, 5)
+        if flags & SYN and not copy:
+            sequence_number += 1_000
+            self._sequence_numbers[caller] = sequence_number
+        sent = packet(caller, front, flags, sequence_number, copy, data)
         self.sent_by_callers.add(sent)
         before = len(self.answers), len(self.resets)
         self.balancers[balancer].on_caller_packet(sent, caller)
