Acknowledge draining only if new flows are closed afterwards

Cause: the agent answered 200 to heartbeats that it ignores (late, from an earlier start, of an ended target or of another service), also if they say draining. A target whose host's clock was set back before it started again was ignored for as long as it ran. A source that named another target could not restore that the target drains, and a balancer that did not know of a goodbye yet restored the target that had ended.

Change: a heartbeat that says draining is answered with 409 unless the agent knows this target as draining. A start that seems earlier is heard once the present one has missed two heartbeats and two of its own have arrived in sequence, half an interval or more apart, so that a late heartbeat opens no silent draining target. Draining prevails among restored states.

--- a/src/ryesaddle/daemons/passthrough/heartbeat_handler.py
+++ b/src/ryesaddle/daemons/passthrough/heartbeat_handler.py
@@ -61,7 +61,11 @@
             self.target_known.set()
 
     def handle_heartbeat(self, report):
-        """Handle a heartbeat of the target; return the `HttpReply`."""
+        """Handle a heartbeat of the target; return the `HttpReply`.
+
+        A heartbeat that says draining is acknowledged only if the target gets no new
+        flow from now on.
+        """
         match self._target_state.apply_heartbeat(report, self._now()):
             case Ignored(reason=reason):
                 self._metrics.count(f"agent.heartbeat_ignored.{reason}")
@@ -78,6 +82,9 @@
                 self._metrics.count("agent.heartbeat")
                 if change != "same":
                     self._on_change(change, report)
+        if report.draining and not self._target_state.is_draining(report.target):
+            # New flows are not closed by a heartbeat that is ignored.
+            return HttpReply(409, b"{}")
         return HttpReply(200, b"{}")
 
     def handle_goodbye(self, target):
--- a/src/ryesaddle/daemons/passthrough/http.py
+++ b/src/ryesaddle/daemons/passthrough/http.py
@@ -19,6 +19,7 @@
     200: "OK",
     400: "Bad Request",
     404: "Not Found",
+    409: "Conflict",
     413: "Content Too Large",
     503: "Service Unavailable",
 }
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -14,8 +14,8 @@
 MIN_OPENING_TIMEOUT_S = 0.03  # allows for a few scheduling delays on a slow host
 # Twice the time after which a caller repeats its opening packet.
 MAX_OPENING_TIMEOUT_S = 0.4
-# A caller sends copies of an opening packet for 0.6 s and gives up after 1.4 s. Less than
-# the 3 s within which a draining target may still get opening packets.
+# A caller sends copies of an opening packet for 0.6 s and gives up after 1.4 s. Less
+# than the 3 s within which a draining target may still get opening packets.
 COPY_PERIOD_S = 2.0
 DEFAULT_MAX_AGE_S = 60.0
 # Bounds the time that a flow counts if its opening packet was not seen here.
--- a/src/ryesaddle/internal/target/state.py
+++ b/src/ryesaddle/internal/target/state.py
@@ -8,6 +8,9 @@
 
 # Ended targets that are remembered, so that their late heartbeats are ignored.
 MAX_ENDED_TARGETS = 64
+# Heartbeats that the present start must have missed before a start that seems earlier
+# replaces it: the host's clock was set back in between.
+MISSED_BEFORE_EARLIER_START = 2
 
 
 class Applied(msgspec.Struct, frozen=True):
@@ -33,7 +36,10 @@
     """Tracks the target at one address through restarts and replacements.
 
     Heartbeats may arrive late or in any order. A heartbeat from an ended target, or
-    from an earlier run of the present one, must not replace newer state.
+    from an earlier run of the present one, must not replace newer state. Runs are
+    ordered by the start that heartbeats report. If the host's clock was set back, a new
+    run reports an earlier start. It is told from late heartbeats by two heartbeats in
+    sequence, half an interval or more apart, while the present run is silent.
 
     Parameters
     ----------
@@ -41,6 +47,12 @@
         The service that the target beside this agent belongs to.
     heartbeat_s : float
         Expected time between two heartbeats, in seconds.
+
+    Attributes
+    ----------
+    restored_confirmed : bool
+        Whether everything that may know the target's last state has been asked, so
+        that a restored state is the last one.
     """
 
     def __init__(self, service, heartbeat_s):
@@ -48,6 +60,9 @@
         self._heartbeat_s = heartbeat_s
         self._ended_targets = OrderedDict()  # identifier: start time or None
         self._restored = None  # (identifier, draining), until the first heartbeat
+        self._last_heard_at = None
+        self._earlier_start = None  # last ignored heartbeat of it, and its time
+        self.restored_confirmed = True
         self.last_report = None
         self.last_heartbeat_at = None
 
@@ -73,6 +88,10 @@
     def restore(self, target, draining):
         """Restore what a balancer or the store knew before this agent started.
 
+        A source that says that a target drains prevails, even if another one names
+        another target: it is not known which of them is newer, and a target that runs
+        is heard soon.
+
         Returns
         -------
         bool
@@ -80,17 +99,24 @@
         """
         if self.last_report is not None or not target:
             return False
-        known = self._restored
-        # A source that has not yet learned that the target drains must not undo what
-        # another source reported.
-        if known is not None and (known[0] != target or known[1] >= draining):
+        if target in self._ended_targets:
+            return False
+        if self._restored is not None and self._restored[1] >= draining:
             return False
         self._restored = (target, draining)
         return True
 
     def is_open(self):
-        """Whether a target is known and has not said that it is about to stop."""
-        return self.target != "" and not self.draining
+        """Whether a target is known and has certainly not said that it drains."""
+        return self.target != "" and not self.draining and self.is_certain()
+
+    def is_certain(self):
+        """Whether the state is the target's last one, not an older one."""
+        return self.last_report is not None or self.restored_confirmed
+
+    def is_draining(self, target):
+        """Whether this target is the present one and is about to stop."""
+        return self.target == target and self.draining
 
     def apply_heartbeat(self, report, now):
         """Apply a heartbeat; return `Applied` or `Ignored`.
@@ -105,14 +131,18 @@
         if report.service != self._service:
             return Ignored("other-service")
         current = self.last_report
-        if current is not None and report.target == current.target:
+        if current is not None and self._is_same_run(report, current):
             return self._update_run(current, report, now)
         if self._is_from_ended(report):
-            return Ignored("ended-before")
-        if current is None:
+            reason = "ended-before"
+        elif current is not None and self._is_older(report, current):
+            reason = "started-before"
+        else:
             return self._begin_run(report, now)
-        if self._is_older(report, current):
-            return Ignored("started-before")
+        if not self._started_after_clock_change(report, now):
+            return Ignored(reason)
+        if current is not None:
+            self._remember_ended(current.target, current.started_at)
         return self._begin_run(report, now)
 
     def mark_ended(self, target):
@@ -133,13 +163,9 @@
         return now - self.last_heartbeat_at > count * self._heartbeat_s
 
     def _update_run(self, current, report, now):
-        if self._is_older(report, current):
-            return Ignored("started-before")
-        if self._is_older(current, report):
-            return self._begin_run(report, now)
         if report.sequence <= current.sequence:
             return Ignored("late")
-        self.last_report, self.last_heartbeat_at = report, now
+        self._record_heard(report, now)
         if report.draining != current.draining:
             return Applied("drains" if report.draining else "ready")
         return Applied("same")
@@ -148,9 +174,32 @@
         if self.last_report is not None and self.last_report.target != report.target:
             self._remember_ended(self.last_report.target, self.last_report.started_at)
         self._restored = None
-        self.last_report, self.last_heartbeat_at = report, now
+        self._record_heard(report, now)
         return Applied("started")
 
+    def _record_heard(self, report, now):
+        self.last_report = report
+        self.last_heartbeat_at = self._last_heard_at = now
+
+    def _started_after_clock_change(self, report, now):
+        """Whether a run that seems earlier follows the present or the ended one."""
+        if report.started_at is None:
+            return False
+        if self._ended_targets.get(report.target) == report.started_at:
+            return False
+        previous, self._earlier_start = self._earlier_start, (report, now)
+        if previous is None or not self._is_same_run(report, previous[0]):
+            return False
+        if now - previous[1] < self._heartbeat_s / 2:
+            self._earlier_start = previous
+            return False
+        if report.sequence <= previous[0].sequence:
+            return False
+        if self._last_heard_at is None:
+            return True
+        silent_s = now - self._last_heard_at
+        return silent_s > MISSED_BEFORE_EARLIER_START * self._heartbeat_s
+
     def _is_from_ended(self, report):
         if report.target not in self._ended_targets:
             return False
@@ -164,6 +213,14 @@
         if len(self._ended_targets) > MAX_ENDED_TARGETS:
             self._ended_targets.popitem(last=False)
 
+    @staticmethod
+    def _is_same_run(report: TargetReport, other: TargetReport):
+        if report.target != other.target:
+            return False
+        if report.started_at is None or other.started_at is None:
+            return True
+        return report.started_at == other.started_at
+
     @staticmethod
     def _is_older(report: TargetReport, other: TargetReport):
         if report.started_at is None or other.started_at is None:
