Keep open flows at their target when routes change

Cause: a balancer searched for a flow in the service that the present weights give, and ignored a cached agent of another service.

Change: a search covers the agents of all services, those of the route first; a cached agent is used whatever its service is, except for opening packets. An agent answers queries and packets of open flows from its own records; the service restricts opening packets only. A packet of an open flow without a route is searched for, unless this process has seen the route removed. "other-service" of an older agent no longer counts as proof that its target does not hold the flow. An opening packet ends a search for an earlier flow of the same addresses.

--- a/bench/passthrough.py
+++ b/bench/passthrough.py
@@ -145,7 +145,7 @@
 
     def forward(number):
         packet = packets.read_caller(OPENING_PACKET)
-        member = placement.find(SERVICE, packet.flow)
+        member = placement.find(packet.flow)
         encode_message(ForwardedPacket(SERVICE, member.address, OPENING_PACKET))
 
     return _time_us(forward)
@@ -167,8 +167,8 @@
 
     def search(number):
         packet = Packet(_make_flow(number))
-        searches.add(packet, OPENING_PACKET, SERVICE, 0.0)
-        members = placement.rank_agents(SERVICE, packet.flow, False, 0.0)
+        searches.add(packet, OPENING_PACKET, 0.0)
+        members = placement.rank_for_search((SERVICE,), packet.flow, 0.0)
         searches.next_step(packet.flow, members, True, 0.0)
 
     return _time_us(search)
--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -126,10 +126,11 @@
             self._now(),
             self._settings.node,
         )
-        if flow in self._flows and query.service == self._settings.service:
-            answer = FlowLocation(node, query.service, query.caller, query.front)
+        if flow in self._flows:
+            service = self._settings.service
+            answer = FlowLocation(node, service, query.caller, query.front)
         else:
-            certain = self._router.is_absent(query.service, now)
+            certain = self._router.is_absent(now)
             answer = FlowUnknown(node, query.caller, query.front, certain)
         self._messages.send(query.balancer, answer)
 
--- a/src/ryesaddle/daemons/passthrough/balancer.py
+++ b/src/ryesaddle/daemons/passthrough/balancer.py
@@ -104,19 +104,19 @@
             self._drop(packet, "no-configuration")
             return
         route = self._route_updater.routes.find(packet.flow.front)
-        if route is None:
+        if not packet.opens:
+            self._forward(packet, data, route)
+        elif route is None:
             self._send_reset(packet, "no-route")
-            return
-        service = route.services(packet.flow)[0]
-        if packet.opens:
-            self._open_flow(packet, data, service, route)
         else:
-            self._forward(packet, data, service)
+            self._open_flow(packet, data, route.services(packet.flow)[0], route)
 
     # New flows
 
     def _open_flow(self, packet, data, service, route):
         flow, now = packet.flow, self._now()
+        # What agents said about an earlier flow of the same addresses no longer counts.
+        self._searches.finish(flow)
         match self._placement.choose_agent(service, flow, packet.copy, now):
             case Discard(reason=reason):
                 self._drop(packet, reason)
@@ -164,23 +164,35 @@
 
     # Open flows
 
-    def _forward(self, packet, data, service):
+    def _forward(self, packet, data, route):
+        """Send a packet of an open flow to the agent of the flow, or search for it.
+
+        The flow stays at its target whatever the present configuration says.
+        """
         now = self._now()
-        member = self._placement.find(service, packet.flow)
+        member = self._placement.find(packet.flow)
         if member is not None:
-            self._send_to_agent(member, service, data)
+            self._send_to_agent(member, data)
             if self._placement.is_alive(member, now):
                 return
             # The agent may be unreachable, or may never have held the flow.
-            if self._searches.add(packet, data, service, now):
+            if self._searches.add(packet, data, now):
                 self._searches.skip_agent(packet.flow, member.node)
                 self._continue_search(packet.flow)
-        elif self._searches.add(packet, data, service, now):
+        elif route is None and self._route_updater.was_removed(packet.flow.front):
+            self._send_reset(packet, "no-route")
+        elif self._searches.add(packet, data, now):
             self._continue_search(packet.flow)
 
-    def _send_to_agent(self, member, service, data, wants_location=False):
+    def _services(self, flow):
+        """Return the services of the route of a flow; none if the route is unknown."""
+        routes = self._route_updater.routes
+        route = None if routes is None else routes.find(flow.front)
+        return () if route is None else route.services(flow)
+
+    def _send_to_agent(self, member, data, wants_location=False):
         forwarded = ForwardedPacket(
-            service, self._settings.peer, data, wants_location=wants_location
+            member.service, self._settings.peer, data, wants_location=wants_location
         )
         self._messages.send(member.address, forwarded)
         self._placement.liveness.expect_answer(member.node, self._now())
@@ -192,12 +204,12 @@
         if not search.packets:
             return
         waiting = search.packets[0]
-        members = self._placement.rank_agents(search.service, flow, False, now)
+        members = self._placement.rank_for_search(self._services(flow), flow, now)
         match self._searches.next_step(flow, members, self._directory.complete, now):
             case QueryAgents(nodes=nodes):
-                self._query_agents(nodes, flow, search.service)
+                self._query_agents(nodes, flow)
             case ProbeAgent(node=node, number=number):
-                self._probe_agent(node, waiting, search.service, number)
+                self._probe_agent(node, waiting, number)
             case NotFound():
                 self._placement.forget(flow)
                 self._send_reset(waiting.packet, "held-nowhere")
@@ -207,16 +219,20 @@
             case AwaitAnswers():
                 pass
 
-    def _query_agents(self, nodes, flow, service):
-        query = FlowQuery(service, self._settings.peer, flow.caller, flow.front)
-        addresses = [self._directory.find(node).address for node in nodes]
-        self._messages.send_all(addresses, query)
+    def _query_agents(self, nodes, flow):
+        for node in nodes:
+            member = self._directory.find(node)
+            # Agents of an older version know a flow of their own service only.
+            query = FlowQuery(
+                member.service, self._settings.peer, flow.caller, flow.front
+            )
+            self._messages.send(member.address, query)
         self._metrics.count("balancer.queried", len(nodes))
         event(log, "query", flow=flow, first=nodes[0], agents=len(nodes))
 
-    def _probe_agent(self, node, waiting, service, number):
+    def _probe_agent(self, node, waiting, number):
         member = self._directory.find(node)
-        self._send_to_agent(member, service, waiting.payload, wants_location=True)
+        self._send_to_agent(member, waiting.payload, wants_location=True)
         self._metrics.count("balancer.probed")
         event(
             log,
@@ -240,8 +256,14 @@
             self._placement.forget(packet.flow)
             if packet.flow not in self._searches:
                 now = self._now()
-                self._searches.add(packet, forwarded.payload, forwarded.service, now)
-            if self._searches.record_refusal(packet.flow, msg.node):
+                self._searches.add(packet, forwarded.payload, now)
+            record = (
+                self._searches.record_unanswered
+                # Sent by agents of an older version, without a look at their records.
+                if msg.reason == "other-service"
+                else self._searches.record_refusal
+            )
+            if record(packet.flow, msg.node):
                 self._continue_search(packet.flow)
 
     def _on_flow_unknown(self, msg, addr):
@@ -269,7 +291,7 @@
         # A probe has already delivered the first packet.
         was_probed = search.probed_node == msg.node
         for waiting in search.packets[1:] if was_probed else search.packets:
-            self._send_to_agent(member, search.service, waiting.payload)
+            self._send_to_agent(member, waiting.payload)
 
     def _send_reset(self, packet, reason):
         if packet.resets:
--- a/src/ryesaddle/daemons/passthrough/route_updater.py
+++ b/src/ryesaddle/daemons/passthrough/route_updater.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import OrderedDict
 
 from ryesaddle.errors import StoreError
 from ryesaddle.internal.config.reader_selection import ReaderSelection
@@ -15,6 +16,7 @@
 MAX_READ_INTERVAL_S = 0.8  # two readers then cause a small share of the store's calls
 FRESH_READ_INTERVALS = 2  # one missed read does not make another balancer step in
 NEVER_READ_AGE_S = 3_600.0  # reported as the read age before the first read
+MAX_REMOVED_ROUTES = 1_024  # bounds memory; an address and a hash entry each
 
 
 class RouteUpdater:
@@ -45,6 +47,7 @@
         )
         self._last_read_at = None
         self._failing = False
+        self._removed = OrderedDict()
         self.routes = None
 
     @property
@@ -100,7 +103,25 @@
             routes=len(table.routes),
             source=source,
         )
-        self.routes = table
+        before, self.routes = self.routes, table
+        self._record_removed(before, table)
+
+    def was_removed(self, front):
+        """Return whether a newer version than one known here removed a route.
+
+        False for a route that this process has never known: a version that it has not
+        seen yet may contain the route.
+        """
+        return front in self._removed
+
+    def _record_removed(self, before, table):
+        if before is not None:
+            for front in before.by_address.keys() - table.by_address.keys():
+                self._removed[front] = None
+        for front in table.by_address:
+            self._removed.pop(front, None)
+        while len(self._removed) > MAX_REMOVED_ROUTES:
+            self._removed.popitem(last=False)
 
     def _now(self):
         return asyncio.get_running_loop().time()
--- a/src/ryesaddle/internal/routing/placement.py
+++ b/src/ryesaddle/internal/routing/placement.py
@@ -36,13 +36,14 @@
     def __len__(self):
         return len(self._flows)
 
-    def find(self, service, flow):
-        """Return the `Member` that a flow was last sent to, or None if unknown."""
+    def find(self, flow):
+        """Return the `Member` that a flow was last sent to, or None if unknown.
+
+        Its service may be another one than the route gives now, because open flows
+        stay at their target when the configuration changes.
+        """
         node = self._flows.get(flow)
-        member = None if node is None else self._directory.find(node)
-        if member is None or member.service != service:
-            return None
-        return member
+        return None if node is None else self._directory.find(node)
 
     def record_agent(self, flow, node):
         """Cache the agent of a flow."""
@@ -75,8 +76,8 @@
         now : float
             Seconds on a monotonic clock.
         """
-        known = self.find(service, flow)
-        if known is not None and self.is_alive(known, now):
+        known = self.find(flow)
+        if known is not None and known.service == service and self.is_alive(known, now):
             # An earlier copy of the packet is queued at that agent or in transit.
             self.liveness.expect_answer(known.node, now)
             return Dispatch(known, "cached")
@@ -113,6 +114,30 @@
         ranked.sort(key=lambda m: not self.is_alive(m, now))
         return ranked
 
+    def rank_for_search(self, services, flow, now):
+        """Return the agents of all services, those most likely to hold a flow first.
+
+        Any agent may hold the flow, since the services of its route may have changed
+        after it was opened. Live agents precede silent ones.
+
+        Parameters
+        ----------
+        services : sequence of str
+            Services that the route of the flow gives now, that of new flows first;
+            empty if the route is not known.
+        flow : Flow
+            The flow.
+        now : float
+            Seconds on a monotonic clock.
+        """
+        ranked = [self._ranked_members(service, flow, False) for service in services]
+        # The first candidates of each service hold nearly all of its flows.
+        members = [m for r in ranked for m in r[:MAX_CANDIDATES]]
+        members += [m for r in ranked for m in r[MAX_CANDIDATES:]]
+        members += [m for m in self._directory.members() if m.service not in services]
+        members.sort(key=lambda m: not self.is_alive(m, now))
+        return members
+
     def is_alive(self, member, now):
         """Return whether an agent was heard from recently and is not suspect."""
         if self.liveness.is_suspect(member.node, now):
--- a/src/ryesaddle/internal/routing/search.py
+++ b/src/ryesaddle/internal/routing/search.py
@@ -45,8 +45,6 @@
 
     Attributes
     ----------
-    service : str
-        Service of the flow.
     packets : list of QueuedPacket
         Queued packets, oldest first. Probes carry the first one.
     refused_by : set of str
@@ -75,7 +73,6 @@
         When the caller last sent a packet, in monotonic seconds.
     """
 
-    service: str
     packets: list[QueuedPacket] = []
     refused_by: set[str] = set()
     uncertain: set[str] = set()
@@ -167,11 +164,11 @@
     def __getitem__(self, flow):
         return self._searches[flow]
 
-    def add(self, packet, payload, service, now):
+    def add(self, packet, payload, now):
         """Queue a packet; return whether `next_step` is due."""
         search = self._searches.get(packet.flow)
         if search is None:
-            search = self._searches[packet.flow] = Search(service)
+            search = self._searches[packet.flow] = Search()
             if len(self._searches) > MAX_SEARCHES:
                 self._searches.popitem(last=False)
         search.last_packet_at = now
@@ -206,6 +203,17 @@
             search.uncertain.add(node)
         return self._record_answer(search, node)
 
+    def record_unanswered(self, flow, node):
+        """Record that an agent has answered without saying whether it holds a flow.
+
+        Returns whether `next_step` is due.
+        """
+        search = self._searches.get(flow)
+        if search is None:
+            return False
+        self.skip_agent(flow, node)
+        return self._record_answer(search, node)
+
     def skip_agent(self, flow, node):
         """Query the other agents first, because this one may be unreachable.
 
--- a/src/ryesaddle/internal/target/router.py
+++ b/src/ryesaddle/internal/target/router.py
@@ -150,12 +150,16 @@
         now : float
             Seconds on a monotonic clock.
         """
-        if forwarded.service != self._service:
+        # The service restricts new flows only. An open flow may be held by this target
+        # whatever the balancer believes about the service of this agent.
+        if packet.opens and forwarded.service != self._service:
             return self._return_to_balancer(forwarded, "other-service")
         if packet.flow in self._flows:
             return Deliver("held")
         if not packet.opens:
-            return self._decide_unknown_flow(forwarded, now)
+            if self.is_absent(now):
+                return self._return_to_balancer(forwarded, "not-held")
+            return Deliver("asked")
         if packet.flow in self._queue:
             return Enqueue("waits")
         if not self.is_open(now):
@@ -167,17 +171,9 @@
             return Deliver("free", notify_balancer)
         return self._offer_to_next(forwarded, packet, notify_balancer, now)
 
-    def is_absent(self, service, now):
-        """Whether the target certainly does not hold a flow that is not known here.
-
-        Parameters
-        ----------
-        service : str
-            Service of the flow.
-        now : float
-            Seconds on a monotonic clock.
-        """
-        return service != self._service or self._flows.is_complete(now)
+    def is_absent(self, now):
+        """Whether the target certainly does not hold a flow that is not known here."""
+        return self._flows.is_complete(now)
 
     def record_refusal(self, now):
         """Record that the target refused an opening packet: it is full or has ended.
@@ -201,11 +197,6 @@
             return None
         return self._queue.pop_next(self._flows.service_s, now)
 
-    def _decide_unknown_flow(self, forwarded, now):
-        if self.is_absent(forwarded.service, now):
-            return self._return_to_balancer(forwarded, "not-held")
-        return Deliver("asked")
-
     def _deliver_or_queue(self, forwarded, packet, notify_balancer, now):
         if self.has_capacity(now):
             return Deliver("least-loaded", notify_balancer)
