Evacuate data centres: no new flows, open ones continue

Cause: objects of the kind evacuations were not read, so targets of an evacuated data centre went on to receive opening packets. Change: reading balancers list the kind with each reading of the configuration if evacuation_ms is set; the state travels in gossip, /state, acknowledgements and EvacuationUpdate, and a newer (era, revision) wins. Balancers leave evacuated agents out of the ranking and out of the cache for opening packets, agents close and return what waits, and a flow whose service is evacuated entirely is reset at once. The test template renders sections as the platform does. services[].warmupPerS is read and sent to agents, which do not use it yet.

--- a/src/ryesaddle/daemons/passthrough/agent_monitor.py
+++ b/src/ryesaddle/daemons/passthrough/agent_monitor.py
@@ -31,13 +31,21 @@
         The known agents and their state.
     liveness : Liveness
         Tracks which agents have not answered.
+    evacuations : EvacuationMonitor
+        Holds the evacuated data centres.
+    route_updater : RouteUpdater
+        Holds the current routes.
     """
 
-    def __init__(self, entry, messages, directory, liveness):
+    def __init__(
+        self, entry, messages, directory, liveness, evacuations, route_updater
+    ):
         self._entry = entry
         self._messages = messages
         self._directory = directory
         self._liveness = liveness
+        self._evacuations = evacuations
+        self._route_updater = route_updater
         messages.on(AgentReport, self._on_report)
 
     def digest(self):
@@ -114,9 +122,15 @@
         if report.wants_ack:
             target = known.target if known else ""
             draining = known.draining if known else False
-            interval_s = report_interval_s(len(self._directory))
+            routes = self._route_updater.routes
             ack = AgentReportAck(
-                self._entry.node, report.incarnation, target, draining, interval_s
+                self._entry.node,
+                report.incarnation,
+                target,
+                draining,
+                report_interval_s(len(self._directory)),
+                evacuation=self._evacuations.state,
+                warm_up_per_s=routes.warm_up_rate(report.service) if routes else 0.0,
             )
             self._messages.send(report.address, ack)
         self._liveness.heard(report.node)
--- a/src/ryesaddle/daemons/passthrough/balancer.py
+++ b/src/ryesaddle/daemons/passthrough/balancer.py
@@ -119,7 +119,7 @@
         flow, now = packet.flow, self._now()
         match self._placement.choose_agent(service, flow, packet.copy, now):
             case Discard(reason=reason):
-                self._drop(packet, reason)
+                self._refuse(packet, service, reason)
             case Dispatch(member=member, reason=reason, others=others):
                 forwarded = ForwardedPacket(
                     service=service,
@@ -158,10 +158,25 @@
         )
         member = next((m for m in order if m.node not in forwarded.asked), None)
         if member is None:
-            self._drop(packet, "no-open-member")
+            self._refuse(packet, forwarded.service, "no-open-member", forwarded.asked)
         else:
             self._send_opening_packet(packet, forwarded, member, "returned")
 
+    def _refuse(self, packet, service, reason, asked=()):
+        """Reset a new flow whose service is evacuated; drop any other one.
+
+        Another agent may have opened the flow from an earlier copy of the packet, or
+        from a later one while an agent queued this copy. A reset would end the flow
+        there.
+        """
+        member = self._placement.find(service, packet.flow)
+        elsewhere = member is not None and member.node not in asked
+        if self._placement.is_evacuated(service) and not packet.copy and not elsewhere:
+            self._placement.forget(packet.flow)
+            self._send_reset(packet, "evacuated")
+        else:
+            self._drop(packet, reason)
+
     # Open flows
 
     def _forward(self, packet, data, service):
--- a/src/ryesaddle/daemons/passthrough/peers.py
+++ b/src/ryesaddle/daemons/passthrough/peers.py
@@ -7,6 +7,7 @@
 
 from ryesaddle.daemons.passthrough.http import HttpError, HttpReply, send_request
 from ryesaddle.internal.address import Address
+from ryesaddle.internal.config.evacuation import EvacuationState
 from ryesaddle.internal.log import event, warn
 from ryesaddle.internal.membership.directory import TargetEntry
 from ryesaddle.internal.membership.fetch_schedule import FetchSchedule
@@ -46,6 +47,7 @@
     routes: RouteTable | None
     balancers: tuple[BalancerEntry, ...]
     targets: tuple[TargetEntry, ...]
+    evacuation: EvacuationState | None = None
 
 
 class Peers:
@@ -63,6 +65,8 @@
         Holds the current routes.
     agent_monitor : AgentMonitor
         Tracks the agents.
+    evacuations : EvacuationMonitor
+        Holds the evacuated data centres.
 
     Attributes
     ----------
@@ -72,12 +76,15 @@
         Whether this balancer is about to stop.
     """
 
-    def __init__(self, entry, incarnation, messages, route_updater, agent_monitor):
+    def __init__(
+        self, entry, incarnation, messages, route_updater, agent_monitor, evacuations
+    ):
         self.entry = entry
         self._incarnation = incarnation
         self._messages = messages
         self._route_updater = route_updater
         self._agent_monitor = agent_monitor
+        self._evacuations = evacuations
         self._peers = {}
         self._last_heard = {}
         self._live_agent_counts = {}
@@ -117,6 +124,7 @@
             agents_digest=self._agent_monitor.digest(),
             live_agent_count=len(self._agent_monitor.live_names()),
             leaving=self.leaving,
+            evacuation=self._evacuations.state,
         )
         self._messages.send_all(self._peers, msg)
 
@@ -130,6 +138,7 @@
         except (HttpError, msgspec.DecodeError) as exc:
             warn(log, "state-not-fetched", source=control, reason=exc)
             return False
+        self._evacuations.merge(state.evacuation, f"balancer {control}")
         if state.routes is not None:
             self._route_updater.install(state.routes, f"balancer {control}")
         self.add_entries(state.balancers)
@@ -140,7 +149,10 @@
         """Return an `HttpReply` with the state that a starting process needs."""
         balancers = (self.entry, *self._peers.values())
         state = SharedState(
-            self._route_updater.routes, balancers, self._agent_monitor.entries()
+            self._route_updater.routes,
+            balancers,
+            self._agent_monitor.entries(),
+            self._evacuations.state,
         )
         return HttpReply(200, msgspec.json.encode(state))
 
@@ -203,6 +215,7 @@
             )
         self._last_heard[msg.address] = now
         self._live_agent_counts[msg.address] = msg.live_agent_count
+        self._evacuations.merge(msg.evacuation, f"balancer {msg.node}")
         self._route_updater.record_peer_read(msg.node, msg.read_age_ms / 1000, now)
         if self._should_fetch(msg, now):
             task = asyncio.get_running_loop().create_task(self._fetch_from_peer(msg))
--- a/src/ryesaddle/daemons/passthrough/reporter.py
+++ b/src/ryesaddle/daemons/passthrough/reporter.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+from ryesaddle.internal.config.evacuation import Evacuations
 from ryesaddle.internal.log import event
 from ryesaddle.internal.membership.readiness_gate import ReadinessGate
 from ryesaddle.internal.membership.report_schedule import (
@@ -12,6 +13,7 @@
 from ryesaddle.internal.wire.passthrough import (
     AgentReport,
     AgentReportAck,
+    EvacuationUpdate,
     ReportRequest,
 )
 
@@ -34,6 +36,11 @@
         Provide the state that is reported.
     messages : MessageSocket
         Exchanges messages with balancers.
+
+    Attributes
+    ----------
+    on_evacuated : callable
+        Called when the agent's data centre has been evacuated.
     """
 
     def __init__(self, settings, incarnation, target_state, router, messages):
@@ -44,10 +51,13 @@
         self._messages = messages
         self._readiness_gate = ReadinessGate(self._now())
         self._schedule = ReportSchedule()
+        self._evacuations = Evacuations()
         self._sequence = 0
         self._on_previous_target = lambda target, draining, source: None
         self._on_entry_missing = lambda: None
+        self.on_evacuated = lambda: None
         messages.on(AgentReportAck, self._on_ack)
+        messages.on(EvacuationUpdate, self._on_evacuation_update)
         messages.on(ReportRequest, self._on_report_request)
 
     def set_callbacks(self, on_previous_target, on_entry_missing):
@@ -141,6 +151,7 @@
     def _on_ack(self, ack, addr):
         self._schedule.record_contact(addr, self._now())
         self._schedule.set_interval(addr, ack.interval_s)
+        self._merge_evacuation(ack.evacuation, addr)
         if ack.incarnation == self._incarnation:
             self._readiness_gate.confirmed(addr)
             if not self._router.known_to_balancers:
@@ -149,6 +160,28 @@
                     self.report()
             self._on_previous_target(ack.target, ack.draining, f"balancer {ack.node}")
 
+    def _on_evacuation_update(self, update, addr):
+        self._merge_evacuation(update.evacuation, addr)
+
+    def _merge_evacuation(self, state, addr):
+        """Close or open this agent if a newer state says so; it may be None."""
+        if state is None or not self._evacuations.merge(state):
+            return
+        evacuated = self._settings.data_centre in state.data_centres
+        if evacuated == self._router.evacuated:
+            return
+        self._router.set_evacuated(evacuated, self._now())
+        event(
+            log,
+            "evacuated" if evacuated else "evacuation-lifted",
+            revision=state.revision,
+            era=state.era,
+            source=addr,
+        )
+        self.report()
+        if evacuated:
+            self.on_evacuated()
+
     def _on_report_request(self, request, addr):
         if self._schedule.record_contact(request.address, self._now()):
             event(log, "balancer-known", balancer=request.node, address=request.address)
--- a/src/ryesaddle/daemons/passthrough/route_updater.py
+++ b/src/ryesaddle/daemons/passthrough/route_updater.py
@@ -1,4 +1,4 @@
-"""Keeps the routes of a balancer up to date."""
+"""Keeps the routes of a balancer and its evacuated data centres up to date."""
 
 import asyncio
 import logging
@@ -30,6 +30,11 @@
         Coroutine function that returns the newest `RouteTable` in the store.
     bound_s : float
         Time within which a change must take effect, in seconds.
+    evacuations : EvacuationMonitor, optional
+        Receives the evacuated data centres of each reading.
+    load_evacuations : callable, optional
+        Coroutine function that returns the `EvacuationState` in the store. Without
+        it, evacuations are known from peers only.
 
     Attributes
     ----------
@@ -37,8 +42,12 @@
         The current configuration.
     """
 
-    def __init__(self, node, load_routes, bound_s):
+    def __init__(
+        self, node, load_routes, bound_s, evacuations=None, load_evacuations=None
+    ):
         self._load_routes = load_routes
+        self._evacuations = evacuations
+        self._load_evacuations = load_evacuations
         self._read_interval_s = min(MAX_READ_INTERVAL_S, bound_s / READS_PER_BOUND)
         self._reader_selection = ReaderSelection(
             node, FRESH_READ_INTERVALS * self._read_interval_s
@@ -72,11 +81,17 @@
     async def read(self):
         """Read the store once; return whether it answered."""
         started = self._now()
-        try:
-            table = await self._load_routes()
-        except StoreError as exc:
+        (table, failure), other_failure = await asyncio.gather(
+            self._load_table(), self._read_evacuations(started)
+        )
+        failure = failure or other_failure
+        # The first configuration comes into force together with the evacuations, so
+        # that a balancer that starts sends no new flow to an evacuated data centre.
+        if table is not None and failure is None:
+            self.install(table, "store")
+        if failure is not None:
             if not self._failing:
-                warn(log, "store-lost", version=self.version, reason=exc)
+                warn(log, "store-lost", version=self.version, reason=failure)
             self._failing = True
             return False
         if self._failing:
@@ -84,10 +99,29 @@
             event(log, "store-regained", version=self.version, age_s=age_s)
         self._failing = False
         self._last_read_at = started
-        if table is not None:
-            self.install(table, "store")
         return True
 
+    async def _load_table(self):
+        """Return the `RouteTable` or None, and the error of the call or None."""
+        try:
+            table = await self._load_routes()
+        except StoreError as exc:
+            return None, exc
+        if table is not None and self.routes is not None:
+            self.install(table, "store")
+        return table, None
+
+    async def _read_evacuations(self, started):
+        """Read and apply the evacuations; return the error of the call or None."""
+        if self._load_evacuations is None:
+            return None
+        try:
+            reading = await self._load_evacuations()
+        except StoreError as exc:
+            return exc
+        self._evacuations.apply_reading(reading, started)
+        return None
+
     def install(self, table, source):
         """Use a configuration if it is newer than the current one."""
         if table.version <= self.version:
--- a/src/ryesaddle/daemons/passthrough/run_balancer.py
+++ b/src/ryesaddle/daemons/passthrough/run_balancer.py
@@ -10,6 +10,7 @@
 from ryesaddle.daemons.passthrough.balancer import PassthroughBalancer
 from ryesaddle.daemons.passthrough.entry import EntryReconciler, list_entries
 from ryesaddle.daemons.passthrough.entry_cleaner import EntryCleaner
+from ryesaddle.daemons.passthrough.evacuation import EvacuationMonitor
 from ryesaddle.daemons.passthrough.http import HttpReply, HttpServer
 from ryesaddle.daemons.passthrough.peers import STATE_PATH, BalancerEntry, Peers
 from ryesaddle.daemons.passthrough.process import (
@@ -42,7 +43,9 @@
 RELIST_INTERVAL_S = 1.0
 
 
-async def run_balancer(settings, bound_socket, packets, api, read_routes, ready_path):
+async def run_balancer(
+    settings, bound_socket, packets, api, read_routes, read_evacuations, ready_path
+):
     """Run a balancer until it is told to stop.
 
     Parameters
@@ -57,6 +60,9 @@
         The platform's object API.
     read_routes : callable
         Coroutine function that takes a `StoreClient` and returns a `RouteTable`.
+    read_evacuations : callable
+        Coroutine function that takes a `StoreClient` and returns an
+        `EvacuationState`; called only if the setting ``evacuation_ms`` is present.
     ready_path : str
         Path of the platform's readiness probes.
     """
@@ -79,11 +85,24 @@
     callers_socket = PacketSocket(
         lambda data, addr: balancer.on_caller_packet(data, addr)
     )
+    evacuations = EvacuationMonitor(messages, directory, placement)
+    reads_evacuations = settings.evacuation_ms is not None
+    bound_ms = min(
+        settings.configuration_ms, settings.evacuation_ms or settings.configuration_ms
+    )
     route_updater = RouteUpdater(
-        settings.node, lambda: read_routes(store), settings.configuration_ms / 1000
+        settings.node,
+        lambda: read_routes(store),
+        bound_ms / 1000,
+        evacuations,
+        (lambda: read_evacuations(store)) if reads_evacuations else None,
+    )
+    agent_monitor = AgentMonitor(
+        own_entry, messages, directory, placement.liveness, evacuations, route_updater
+    )
+    peers = Peers(
+        own_entry, incarnation, messages, route_updater, agent_monitor, evacuations
     )
-    agent_monitor = AgentMonitor(own_entry, messages, directory, placement.liveness)
-    peers = Peers(own_entry, incarnation, messages, route_updater, agent_monitor)
     balancer = PassthroughBalancer(
         settings,
         packets,
@@ -106,6 +125,9 @@
             "agents": len(directory),
             "open_agents": directory.count_open(),
             "balancers": len(peers.live_names()) + 1,
+            "evacuated": list(evacuations.state.data_centres)
+            if evacuations.state
+            else [],
             "store_calls": store.calls,
             "leaving": peers.leaving,
         }
--- a/src/ryesaddle/daemons/passthrough/settings.py
+++ b/src/ryesaddle/daemons/passthrough/settings.py
@@ -31,6 +31,7 @@
         "outbound",
         "service",
         "peer_listen",
+        "evacuation_ms",
     }
 )
 
@@ -84,12 +85,16 @@
     configuration_ms : int
         Time within which a change of the configuration must take effect, in
         milliseconds.
+    evacuation_ms : int or None
+        Time within which the evacuation of a data centre must take effect, in
+        milliseconds; None if the platform knows no evacuations.
     peer_listen : Address or None
         Address to which the socket for messages is bound if it differs from ``peer``,
         as behind NAT. An agent takes it from its command line.
     """
 
     configuration_ms: int = 3_000
+    evacuation_ms: int | None = None
     peer_listen: Address | None = None
 
 
--- a/src/ryesaddle/internal/routing/placement.py
+++ b/src/ryesaddle/internal/routing/placement.py
@@ -31,11 +31,23 @@
         self._data_centre = data_centre
         self._directory = directory
         self._flows = FlowCache()
+        self._evacuated = frozenset()
         self.liveness = Liveness()
 
     def __len__(self):
         return len(self._flows)
 
+    def set_evacuated(self, data_centres):
+        """Place no new flows in these data centres from now on, only in others."""
+        self._evacuated = frozenset(data_centres)
+
+    def is_evacuated(self, service):
+        """Whether all targets of a service are in evacuated data centres."""
+        view = self._directory.view(service) if self._evacuated else None
+        if view is None:
+            return False
+        return all(m.data_centre in self._evacuated for m in view.members)
+
     def find(self, service, flow):
         """Return the `Member` that a flow was last sent to, or None if unknown."""
         node = self._flows.get(flow)
@@ -76,7 +88,11 @@
             Seconds on a monotonic clock.
         """
         known = self.find(service, flow)
-        if known is not None and self.is_alive(known, now):
+        if (
+            known is not None
+            and known.data_centre not in self._evacuated
+            and self.is_alive(known, now)
+        ):
             # An earlier copy of the packet is queued at that agent or in transit.
             self.liveness.expect_answer(known.node, now)
             return Dispatch(known, "cached")
@@ -85,7 +101,8 @@
         # Checking only the first live agents bounds the cost of a new flow.
         eligible = list(islice(alive, MAX_CANDIDATES * (copy + 1))) or ranked
         if not eligible:
-            return Discard("no-open-member")
+            evacuated = self.is_evacuated(service)
+            return Discard("evacuated" if evacuated else "no-open-member")
         first = (copy * MAX_CANDIDATES) % len(eligible)
         candidates = (eligible[first:] + eligible[:first])[:MAX_CANDIDATES]
         candidates.sort(key=self._cost)
@@ -123,7 +140,11 @@
         view = self._directory.view(service)
         if view is None:
             return []
-        members = view.open_members if opens else view.members
+        members = view.members
+        if opens:
+            members = view.open_members
+            if self._evacuated:
+                members = [m for m in members if m.data_centre not in self._evacuated]
         return self._local_first(rank(flow_key(service, flow), members))
 
     def _local_first(self, ranked):
--- a/src/ryesaddle/internal/routing/route.py
+++ b/src/ryesaddle/internal/routing/route.py
@@ -74,11 +74,15 @@
         Each service address with its route.
     idle_s : float
         Time without packets after which a flow may be forgotten, in seconds.
+    warm_up_per_s : tuple of (str, float)
+        Services with the requests per second that each of their targets bears while
+        it warms up; services without such a limit are left out.
     """
 
     version: int
     routes: tuple[tuple[Address, Route], ...]
     idle_s: float
+    warm_up_per_s: tuple[tuple[str, float], ...] = ()
 
     @cached_property
     def by_address(self):
@@ -88,3 +92,7 @@
     def find(self, front):
         """Return the `Route` of a service address, or None."""
         return self.by_address.get(front)
+
+    def warm_up_rate(self, service):
+        """Return the requests per second of a target that warms up; 0 if unlimited."""
+        return dict(self.warm_up_per_s).get(service, 0.0)
--- a/src/ryesaddle/internal/target/router.py
+++ b/src/ryesaddle/internal/target/router.py
@@ -100,6 +100,8 @@
         Whether this agent is about to stop.
     known_to_balancers : bool
         Whether the balancers know this agent.
+    evacuated : bool
+        Whether the data centre of this agent is evacuated.
     """
 
     def __init__(self, this_agent, service, target_state, flows, queue):
@@ -111,10 +113,17 @@
         self._refused_until = 0.0
         self.draining = False
         self.known_to_balancers = True
+        self.evacuated = False
+
+    def set_evacuated(self, evacuated, now):
+        """Record whether the data centre of this agent is evacuated."""
+        self.evacuated = evacuated
 
     def is_open(self, now):
         """Whether this agent accepts new flows."""
-        if self.draining or not self.known_to_balancers or now < self._refused_until:
+        if self.draining or self.evacuated or not self.known_to_balancers:
+            return False
+        if now < self._refused_until:
             return False
         if not self._target_state.is_open():
             return False
--- a/src/ryesaddle/platform/configuration.py
+++ b/src/ryesaddle/platform/configuration.py
@@ -1,10 +1,12 @@
-"""Translates the operator's configuration object into a `RouteTable`."""
+"""Translates the operator's objects: the configuration and evacuations."""
 
 from ryesaddle.internal.address import Address
+from ryesaddle.internal.config.evacuation import EvacuationState
 from ryesaddle.internal.routing.route import Route, RouteTable, TrafficShare
 
 KIND = "config"
 NAME = "main"
+EVACUATION_KIND = "evacuations"  # one object for each evacuated data centre
 DEFAULT_IDLE_TIMEOUT_MS = 15_000
 DEFAULT_TIMEOUT_MS = 30_000
 DEFAULT_PRIORITY = 9
@@ -39,7 +41,37 @@
     limits = spec.get("limits")
     idle_ms = limits.get("idleTimeoutMs") if isinstance(limits, dict) else None
     idle_s = _number_or_default(idle_ms, DEFAULT_IDLE_TIMEOUT_MS) / 1000
-    return RouteTable(version, tuple(routes.items()), idle_s), problems
+    warm_up_per_s = _read_warm_up(spec.get("services"), problems)
+    table = RouteTable(version, tuple(routes.items()), idle_s, warm_up_per_s)
+    return table, problems
+
+
+def read_evacuations(objects, version, era=0):
+    """Return the `EvacuationState` in a list of the kind `EVACUATION_KIND`.
+
+    Parameters
+    ----------
+    objects : iterable of StoreObject
+        The objects; their names are those of the evacuated data centres.
+    version : str
+        Revision of the store at the reading.
+    era : int
+        Era of the store at the reading.
+    """
+    names = sorted(obj.metadata.name for obj in objects)
+    return EvacuationState(era, int(version), tuple(names))
+
+
+def _read_warm_up(services, problems):
+    rates = {}
+    for item in services if isinstance(services, list) else ():
+        if not isinstance(item, dict) or not isinstance(item.get("name"), str):
+            problems.append("malformed service skipped")
+            continue
+        rate = _number_or_default(item.get("warmupPerS"), 0)
+        if rate > 0:
+            rates[item["name"]] = float(rate)
+    return tuple(sorted(rates.items()))
 
 
 def _read_route(item):
--- a/src/ryesaddle/platform/role.py
+++ b/src/ryesaddle/platform/role.py
@@ -12,7 +12,13 @@
     PassthroughBalancerSettings,
 )
 from ryesaddle.errors import SettingsError, StoreUnavailableError
-from ryesaddle.platform.configuration import KIND, NAME, read_routes
+from ryesaddle.platform.configuration import (
+    EVACUATION_KIND,
+    KIND,
+    NAME,
+    read_evacuations,
+    read_routes,
+)
 from ryesaddle.platform.heartbeat import HEARTBEAT, read_heartbeat, read_path
 from ryesaddle.platform.objects import PlatformObjects
 from ryesaddle.platform.packet import PlatformPackets
@@ -44,6 +50,7 @@
                 PlatformPackets(),
                 PlatformObjects(lambda: settings.store),
                 _read_configuration,
+                _read_evacuations,
                 READY_PATH,
             )
         else:
@@ -73,6 +80,11 @@
     return table
 
 
+async def _read_evacuations(store):
+    objects, version = await store.list(EVACUATION_KIND, attempts=1)
+    return read_evacuations(objects, version)
+
+
 def _handle_target_request(heartbeats, req):
     parsed = read_path(req.path)
     if parsed is None or req.method != "POST":
--- a/tests/daemons/test_live_settings.py
+++ b/tests/daemons/test_live_settings.py
@@ -54,6 +54,27 @@
     def test_a_host_may_have_no_seeds(self):
         self.assertEqual(self.load("agent", seeds=[]).seeds, ())
 
+    def test_a_section_is_rendered_for_each_entry_or_once_for_a_value(self):
+        for value, rendered in (
+            ([1, 2], "12"),
+            ({"a": 1}, "a"),
+            (5000, "5000"),
+            (0, "0"),
+            (True, "True"),
+            (False, ""),
+            (None, ""),
+            ([], ""),
+        ):
+            found = render("{{#x.y}}{{.}}{{/x.y}}", {"x": {"y": value}})
+            self.assertEqual(found, rendered, value)
+        text = "{{#x}}{{x|json}}{{,}}{{/x}}"
+        self.assertEqual(render(text, {"x": 5}), "5")
+
+    def test_the_bound_for_evacuations_is_absent_where_the_platform_gives_none(self):
+        self.assertIsNone(self.load("balancer").evacuation_ms)
+        bounds = {**platform_fields("balancer")["bounds"], "evacuateMs": 5_000}
+        self.assertEqual(self.load("balancer", bounds=bounds).evacuation_ms, 5_000)
+
     def test_check_prints_the_kind_of_settings(self):
         for role, printed in (
             ("balancer", "PassingBalancerSettings"),
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -3,8 +3,14 @@
 from hypothesis import given, strategies as st
 
 from ryesaddle.internal.address import Address
+from ryesaddle.internal.config.evacuation import EvacuationState
 from ryesaddle.internal.routing.packet import Flow
-from ryesaddle.platform.configuration import read_routes
+from ryesaddle.internal.store.object import Metadata, StoreObject
+from ryesaddle.platform.configuration import (
+    EVACUATION_KIND,
+    read_evacuations,
+    read_routes,
+)
 
 ROUTE = {
     "name": "r-1",
@@ -56,6 +62,21 @@
         self.assertAlmostEqual(share, 0.1, delta=0.03)
         self.assertEqual({frozenset(names) for names in chosen}, {frozenset("ab")})
 
+    def test_services_may_limit_targets_that_warm_up(self):
+        services = [
+            {"name": "huvo11a", "warmupPerS": 7.5},
+            {"name": "huvo11b", "warmupPerS": 0},
+            {"name": "huvo11c"},
+            {"name": "huvo11d", "warmupPerS": "fast"},
+            {"warmupPerS": 5},
+            "text",
+        ]
+        table, problems = read_routes(config(ROUTE, services=services))
+        self.assertEqual(table.warm_up_per_s, (("huvo11a", 7.5),))
+        self.assertEqual(table.warm_up_rate("huvo11a"), 7.5)
+        self.assertEqual(table.warm_up_rate("huvo11b"), 0.0)
+        self.assertEqual(len(problems), 2)
+
     def test_malformed_routes_are_skipped_and_reported(self):
         malformed = [
             {**ROUTE, "pathPrefix": "/x/"},
@@ -78,7 +99,9 @@
             self.assertIsNone(read_routes(spec)[0])
 
     @given(
-        st.dictionaries(st.sampled_from(["version", "routes", "limits"]), json_values)
+        st.dictionaries(
+            st.sampled_from(["version", "routes", "limits", "services"]), json_values
+        )
     )
     def test_arbitrary_objects_raise_no_error(self, spec):
         table, _ = read_routes(spec)
@@ -89,3 +112,15 @@
     def test_malformed_routes_do_not_affect_a_valid_one(self, malformed):
         table, _ = read_routes(config(*malformed, ROUTE))
         self.assertEqual(table.find(FRONT).name, "r-1")
+
+
+class ReadEvacuationsTest(unittest.TestCase):
+    def test_the_names_of_the_objects_are_the_data_centres(self):
+        objects = [
+            StoreObject(EVACUATION_KIND, Metadata(name, "7"))
+            for name in ("bkk-b", "bkk-a")
+        ]
+        self.assertEqual(
+            read_evacuations(objects, "12", era=3),
+            EvacuationState(3, 12, ("bkk-a", "bkk-b")),
+        )
--- a/tests/support/passthrough.py
+++ b/tests/support/passthrough.py
@@ -5,6 +5,7 @@
 from ryesaddle.daemons.passthrough.agent import PassthroughAgent
 from ryesaddle.daemons.passthrough.agent_monitor import AgentMonitor
 from ryesaddle.daemons.passthrough.balancer import PassthroughBalancer
+from ryesaddle.daemons.passthrough.evacuation import EvacuationMonitor
 from ryesaddle.daemons.passthrough.heartbeat_handler import HeartbeatHandler
 from ryesaddle.daemons.passthrough.peers import BalancerEntry
 from ryesaddle.daemons.passthrough.reporter import Reporter
@@ -138,7 +139,9 @@
     def __init__(self):
         self.now = 100.0
         self.balancers = {}
+        self.evacuations = {}
         self.agents = {}
+        self.data_centres = {}
         self.reporters = {}
         self.heartbeats = {}
         self.entries = {}
@@ -200,19 +203,24 @@
         messages = FakeMessages(self, address)
         directory = AgentDirectory()
         placement = Placement("dc", directory)
-        agents = AgentMonitor(entry, messages, directory, placement.liveness)
+        evacuations = EvacuationMonitor(messages, directory, placement)
+        route_updater = FakeRouteUpdater()
+        agents = AgentMonitor(
+            entry, messages, directory, placement.liveness, evacuations, route_updater
+        )
         balancer = PassthroughBalancer(
             settings,
             PlatformPackets(),
             placement,
             directory,
-            FakeRouteUpdater(),
+            route_updater,
             messages,
             FakePackets(self),
             Metrics(),
         )
-        agents._now = balancer._now = lambda: self.now
+        agents._now = balancer._now = evacuations._now = lambda: self.now
         self.balancers[number] = balancer
+        self.evacuations[number] = evacuations
         self._by_address[address] = messages
         self.balancer_entries[node] = entry
         agents.add_entries(tuple(self.entries.values()))
@@ -220,12 +228,15 @@
         self.settle()
 
     def start_agent(self, number, service=SERVICE, target=None):
-        """Start or restart the agent of ``target``, which keeps its flows."""
+        """Start or restart the agent of ``target``, which keeps its flows.
+
+        Its data centre is that in ``data_centres``, usually the balancers' one.
+        """
         node, address = f"side-{number}", Address(f"10.0.2.{number}", 7000)
         self._agent_starts += 1
         settings = PassthroughAgentSettings(
             node=node,
-            data_centre="dc",
+            data_centre=self.data_centres.get(number, "dc"),
             peer=address,
             control=address,
             ready=address,
--- a/tests/support/template.py
+++ b/tests/support/template.py
@@ -33,9 +33,10 @@
 def render(text, fields):
     """Return a template with its placeholders and sections filled in.
 
-    ``{{name}}`` gives a value, ``{{name|json}}`` its JSON, and ``{{#name}}`` to
-    ``{{/name}}`` repeats its content for each item of a list, with ``{{.}}`` for the
-    item and ``{{,}}`` for a comma after all items but the last.
+    ``{{name}}`` gives a value, ``{{name|json}}`` its JSON. ``{{#name}}`` to
+    ``{{/name}}`` is a section: it is rendered once for each entry of a list or table,
+    with ``{{.}}`` for the item and ``{{,}}`` for a comma after all items but the last,
+    once for a number or another value that is true, and not at all without a value.
     """
     rendered, position = [], 0
     while match := PLACEHOLDER.search(text, position):
@@ -44,12 +45,12 @@
         position = match.end()
         if sigil == "#":
             end = text.index("{{/" + name + "}}", position)
-            items = _look_up(fields, name) or []
+            items = _section_items(_look_up(fields, name))
             for number, item in enumerate(items):
                 item_text = text[position:end].replace(
                     "{{,}}", "," * (number < len(items) - 1)
                 )
-                rendered.append(item_text.replace("{{.}}", str(item)))
+                rendered.append(render(item_text.replace("{{.}}", str(item)), fields))
             position = end + len("{{/" + name + "}}")
             continue
         value = _look_up(fields, name)
@@ -61,6 +62,15 @@
     return "".join(rendered)
 
 
+def _section_items(value):
+    """Return one item for each time that a section is rendered."""
+    if isinstance(value, list | dict):
+        return list(value)
+    if value is None or value is False:
+        return []
+    return [value]
+
+
 def _look_up(fields, name):
     value = fields
     for key in name.split("."):
