Test an evacuation and its removal on real processes

Cause: the simulation has neither a store nor gossip. Change: a test that evacuates a data centre and lifts it while a balancer and an agent are restarted three times, once with the store away, and one that evacuates all data centres of a service.

--- a/tests/support/platform_deployment.py
+++ b/tests/support/platform_deployment.py
@@ -187,9 +187,14 @@
         Number of balancers.
     services : sequence of str
         The service of each target.
+    data_centres : dict of str to str
+        Data centres of hosts by address; the others are in ``dc``.
     """
 
-    def __init__(self, balancers=2, services=("case-desk", "case-desk")):
+    def __init__(
+        self, balancers=2, services=("case-desk", "case-desk"), data_centres=()
+    ):
+        self._data_centres = dict(data_centres)
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
         self.store = Address("127.0.0.1", free_port())
@@ -257,7 +262,7 @@
         """Return the settings of a process, and the address it binds first."""
         fields = {
             "node": host,
-            "data_centre": "dc",
+            "data_centre": self._data_centres.get(host, "dc"),
             "store": str(self.store),
             "seeds": [
                 str(self.at(balancer_host, "admin"))
@@ -270,6 +275,7 @@
         for name in ("peer", "ready", "metrics"):
             fields[name] = str(self.at(host, name))
         if host in self.balancer_hosts:
+            fields["evacuation_ms"] = 5_000
             return fields, fields["callers"]
         target = self.targets[self.agent_hosts.index(host)]
         fields.update(
--- a/tests/support/platform_store.py
+++ b/tests/support/platform_store.py
@@ -20,8 +20,9 @@
     ``lose_answers`` (the write has taken effect), ``late`` (it takes effect 50 ms
     later) and ``not_done`` (it never takes effect).
 
-    ``PUT /put/{kind}/{name}`` writes an object without faults, and ``POST /forget``
-    drops the event history, so that watches from an older revision get a 410.
+    ``PUT /put/{kind}/{name}`` writes an object without faults, ``DELETE`` of the same
+    path removes it, and ``POST /forget`` drops the event history, so that watches from
+    an older revision get a 410.
     """
 
     def __init__(self):
@@ -41,6 +42,7 @@
         self.app.router.add_delete(path + "/{kind}/{name}", self._delete)
         self.app.router.add_put("/faults", self._set_faults)
         self.app.router.add_put("/put/{kind}/{name}", self._handle_put)
+        self.app.router.add_delete("/put/{kind}/{name}", self._handle_remove)
         self.app.router.add_post("/forget", self._compact)
 
     def put(self, kind, name, spec):
@@ -76,6 +78,11 @@
         await self._notify()
         return web.json_response({})
 
+    async def _handle_remove(self, req):
+        self._apply_delete(req.match_info["kind"], req.match_info["name"], None)
+        await self._notify()
+        return web.json_response({})
+
     async def _compact(self, req):
         self.history, self.compacted_revision = [], self.revision
         return web.json_response({})
