Acknowledge draining only when it is recorded outside the agent

Cause: an agent acknowledged a heartbeat that says draining at once. If it was killed then, and its target stayed silent, the next agent could restore an older state: the entry was not written yet, balancers had lost the report, or the first report of the new agent, which does not know its target, had replaced what a balancer knew.

Change: the answer waits until the entry is written or two balancers (all, if there are fewer) have acknowledged that they know, for at most 0.8 s; then it is 503. A restarted agent takes new flows once it has heard its target, or has read its entry and has been answered by all balancers that it knows (or after 1 s). Until then its reports name no target, and balancers keep what an earlier run named. An agent that learns of the draining from a balancer writes its entry. EntryReconciler.in_sync is no longer set if the content changed during the write.

The packet simulation counts an opening packet at a draining target as wrong from the acknowledgement on, and its rule for draining requires the acknowledgement at once.

--- a/src/ryesaddle/daemons/passthrough/entry.py
+++ b/src/ryesaddle/daemons/passthrough/entry.py
@@ -99,7 +99,9 @@
                 await asyncio.sleep(RETRY_BACKOFF.delay(attempt, self._rng))
                 attempt += 1
                 continue
-            self.in_sync.set()
+            # The desired content may have changed while this one was written.
+            if not self._changed.is_set():
+                self.in_sync.set()
             return
 
     async def _reconcile(self):
--- a/src/ryesaddle/daemons/passthrough/heartbeat_handler.py
+++ b/src/ryesaddle/daemons/passthrough/heartbeat_handler.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+from collections import deque
+from typing import NamedTuple
 
 from ryesaddle.daemons.passthrough.http import HttpReply
 from ryesaddle.internal.log import event
@@ -11,6 +13,18 @@
 log = logging.getLogger(__name__)
 
 FIRST_SEQUENCE = 1  # of the heartbeat that a target sends when it starts
+RECORD_TIMEOUT_S = 0.8  # a target waits 1 s for the answer to a heartbeat
+RECORD_CHECK_INTERVAL_S = 0.02  # a fraction of the time of a write to the store
+# Twice the round trip between two data centres.
+RECORD_REQUEST_INTERVAL_S = 0.1
+
+
+class _PendingAnswer(NamedTuple):
+    """The answer to a heartbeat that says draining, until that is recorded."""
+
+    future: asyncio.Future
+    target: str
+    expires_at: float
 
 
 class HeartbeatHandler:
@@ -46,7 +60,17 @@
         self._metrics = metrics
         self.target_known = asyncio.Event()
         self.on_target_started = lambda: None
-        reporter.set_callbacks(self.restore_target, self.restore_entry)
+        self._pending_answers = deque()
+        self._next_request_at = 0.0
+        reporter.set_callbacks(
+            self.restore_target, self.restore_entry, self.check_pending_answers
+        )
+
+    async def run(self):
+        """Answer heartbeats that wait for a record, until cancelled."""
+        while True:
+            await asyncio.sleep(RECORD_CHECK_INTERVAL_S)
+            self.check_pending_answers()
 
     def restore_target(self, target, draining, source):
         """Restore the target's state as known before this process started."""
@@ -59,12 +83,16 @@
                 source=source,
             )
             self.target_known.set()
+            if draining:
+                # The entry in the store may say otherwise.
+                self.register_target()
 
     def handle_heartbeat(self, report):
-        """Handle a heartbeat of the target; return the `HttpReply`.
+        """Handle a heartbeat of the target; return the `HttpReply` or a future of it.
 
         A heartbeat that says draining is acknowledged only if the target gets no new
-        flow from now on.
+        flow from now on, also if this process is killed: the draining must be recorded
+        in the store or at balancers (`DrainRecord`).
         """
         match self._target_state.apply_heartbeat(report, self._now()):
             case Ignored(reason=reason):
@@ -85,8 +113,28 @@
         if report.draining and not self._target_state.is_draining(report.target):
             # New flows are not closed by a heartbeat that is ignored.
             return HttpReply(409, b"{}")
+        if report.draining and not self._is_draining_recorded():
+            return self._answer_when_recorded(report.target)
         return HttpReply(200, b"{}")
 
+    def check_pending_answers(self):
+        """Answer the heartbeats whose draining was recorded or timed out."""
+        now = self._now()
+        if not self._pending_answers:
+            return
+        if self._is_draining_recorded():
+            for pending in self._pending_answers:
+                is_draining = self._target_state.is_draining(pending.target)
+                self._answer(pending, 200 if is_draining else 409)
+            self._pending_answers.clear()
+            return
+        while self._pending_answers and now >= self._pending_answers[0].expires_at:
+            self._metrics.count("agent.drain_not_recorded")
+            event(log, "drain-not-recorded", target=self._pending_answers[0].target)
+            self._answer(self._pending_answers.popleft(), 503)
+        if self._pending_answers and now >= self._next_request_at:
+            self._request_record()
+
     def handle_goodbye(self, target):
         """Handle the message of a target that stops; return the `HttpReply`."""
         if self._target_state.mark_ended(target):
@@ -116,6 +164,37 @@
             )
         )
 
+    def _is_draining_recorded(self):
+        # The entry says draining as soon as the target does (`register_target`).
+        return self._target_state.draining and (
+            self._reconciler.in_sync.is_set() or self._reporter.is_draining_recorded()
+        )
+
+    def _answer_when_recorded(self, target):
+        expires_at = self._now() + RECORD_TIMEOUT_S
+        pending = _PendingAnswer(self._new_future(), target, expires_at)
+        self._pending_answers.append(pending)
+        self._request_record()
+        return pending.future
+
+    def _request_record(self):
+        """Report to all balancers and request acknowledgements.
+
+        An acknowledgement says what the balancer knew before the report, so that one
+        follows the first report that says draining.
+        """
+        self._next_request_at = self._now() + RECORD_REQUEST_INTERVAL_S
+        self._reporter.report()
+
+    @staticmethod
+    def _answer(pending, status):
+        if not pending.future.done():
+            pending.future.set_result(HttpReply(status, b"{}"))
+
+    @staticmethod
+    def _new_future():
+        return asyncio.get_running_loop().create_future()
+
     def _on_change(self, change, report):
         event(
             log,
--- a/src/ryesaddle/daemons/passthrough/reporter.py
+++ b/src/ryesaddle/daemons/passthrough/reporter.py
@@ -4,6 +4,7 @@
 import logging
 
 from ryesaddle.internal.log import event
+from ryesaddle.internal.membership.drain_record import DrainRecord
 from ryesaddle.internal.membership.readiness_gate import ReadinessGate
 from ryesaddle.internal.membership.report_schedule import (
     REPORT_INTERVAL_S,
@@ -44,13 +45,15 @@
         self._messages = messages
         self._readiness_gate = ReadinessGate(self._now())
         self._schedule = ReportSchedule()
+        self._drain_record = DrainRecord()
         self._sequence = 0
         self._on_previous_target = lambda target, draining, source: None
         self._on_entry_missing = lambda: None
+        self._on_drain_recorded = lambda: None
         messages.on(AgentReportAck, self._on_ack)
         messages.on(ReportRequest, self._on_report_request)
 
-    def set_callbacks(self, on_previous_target, on_entry_missing):
+    def set_callbacks(self, on_previous_target, on_entry_missing, on_drain_recorded):
         """Set the functions that are called on messages of balancers.
 
         Parameters
@@ -59,11 +62,12 @@
             Takes the target's name, whether it is draining, and the source of both.
         on_entry_missing : callable
             Called without arguments when the store lacks the entry of this agent.
+        on_drain_recorded : callable
+            Called without arguments when another balancer knows that the target drains.
         """
-        self._on_previous_target, self._on_entry_missing = (
-            on_previous_target,
-            on_entry_missing,
-        )
+        self._on_previous_target = on_previous_target
+        self._on_entry_missing = on_entry_missing
+        self._on_drain_recorded = on_drain_recorded
 
     async def run(self):
         """Send the reports that are due until cancelled."""
@@ -91,6 +95,15 @@
         """Record that the store held this agent's entry before this run."""
         self._readiness_gate.registered_before()
 
+    def mark_entry_read(self):
+        """Record that this agent's entry was read, or that the store has none."""
+        self._readiness_gate.entry_read()
+        self._open_if_ready()
+
+    def is_draining_recorded(self):
+        """Whether enough balancers know that the present target drains."""
+        return self._drain_record.is_complete(self._target_state.target, self._schedule)
+
     def report(self, gone=False):
         """Report to all balancers now.
 
@@ -105,9 +118,14 @@
         self._sequence += 1
         self._update_readiness()
         now, target_state = self._now(), self._target_state
+        if not target_state.draining:
+            self._drain_record.clear()
         due_reports = self._schedule.due_reports(
-            now, urgent, all_ack=not self._router.known_to_balancers
+            now, urgent, all_ack=self._needs_acks()
         )
+        # A restored state that may be outdated must not replace a newer one at the
+        # balancers, which keep what they know while the target is not named.
+        is_named = target_state.is_certain() or target_state.draining
         for options, addresses in due_reports.items():
             report = AgentReport(
                 node=self._settings.node,
@@ -118,7 +136,7 @@
                 open=self._router.is_open(now),
                 load=round(self._router.load(now), 3),
                 slots=target_state.slots,
-                target=target_state.target,
+                target=target_state.target if is_named else "",
                 draining=target_state.draining,
                 sequence=self._sequence,
                 interval_s=options.interval_s,
@@ -133,6 +151,21 @@
         if done and not self._router.known_to_balancers:
             event(log, "introduced", balancers=len(self._schedule))
         self._router.known_to_balancers = done
+        self._target_state.restored_confirmed = (
+            self._readiness_gate.confirms_restored_state(self._schedule, self._now())
+        )
+
+    def _open_if_ready(self):
+        """Update the readiness; report at once if the agent now accepts new flows."""
+        was_open = self._router.is_open(self._now())
+        self._update_readiness()
+        if not was_open and self._router.is_open(self._now()):
+            self.report()
+
+    def _needs_acks(self):
+        if not self._router.known_to_balancers or not self._target_state.is_certain():
+            return True
+        return self._target_state.draining and not self.is_draining_recorded()
 
     def _remove_expired(self):
         for address in self._schedule.remove_expired(self._now()):
@@ -142,12 +175,13 @@
         self._schedule.record_contact(addr, self._now())
         self._schedule.set_interval(addr, ack.interval_s)
         if ack.incarnation == self._incarnation:
-            self._readiness_gate.confirmed(addr)
-            if not self._router.known_to_balancers:
-                self._update_readiness()
-                if self._router.known_to_balancers:
-                    self.report()
+            # Before this balancer counts as asked.
             self._on_previous_target(ack.target, ack.draining, f"balancer {ack.node}")
+            self._readiness_gate.confirmed(addr)
+            self._open_if_ready()
+            if ack.draining and self._target_state.is_draining(ack.target):
+                self._drain_record.record(ack.target, addr)
+                self._on_drain_recorded()
 
     def _on_report_request(self, request, addr):
         if self._schedule.record_contact(request.address, self._now()):
--- a/src/ryesaddle/daemons/passthrough/run_agent.py
+++ b/src/ryesaddle/daemons/passthrough/run_agent.py
@@ -84,6 +84,7 @@
     metrics = Metrics()
     store = StoreClient(api, rng, metrics=metrics)
     target_state = TargetState(settings.service, settings.heartbeat_ms / 1000)
+    target_state.restored_confirmed = False
     flows = TargetFlows(loop.time(), settings.flow_max_s)
     own_candidate = Candidate(settings.node, settings.peer)
     queue = FlowQueue()
@@ -143,7 +144,7 @@
         [
             asyncio.ensure_future(
                 _restore_target(
-                    store, heartbeat_handler, reporter, reconciler, settings
+                    store, heartbeat_handler, reporter, reconciler, settings, loading
                 )
             ),
             asyncio.ensure_future(heartbeat_handler.target_known.wait()),
@@ -155,6 +156,7 @@
     event(log, "started", node=settings.node, role="agent", target=target_state.target)
     tasks.start(settings.run)
     tasks.start(reporter.run)
+    tasks.start(heartbeat_handler.run)
     tasks.start(agent.run)
     tasks.start(agent.watch)
     tasks.start(reconciler.run)
@@ -203,19 +205,26 @@
         return
 
 
-async def _restore_target(store, heartbeat_handler, reporter, reconciler, settings):
+async def _restore_target(
+    store, heartbeat_handler, reporter, reconciler, settings, loading
+):
     try:
         stored = await store.get(TARGET_KIND, settings.node, attempts=1)
         reconciler.assume_stored(stored)
-        if stored is None:
-            return
-        entry = msgspec.convert(stored.spec, TargetEntry)
+        entry = None if stored is None else msgspec.convert(stored.spec, TargetEntry)
     except (StoreError, msgspec.ValidationError) as exc:
         warn(log, "entry-not-read", kind=TARGET_KIND, reason=exc)
         return
-    if entry.service == settings.service and entry.address == settings.peer:
+    if (
+        entry is not None
+        and entry.service == settings.service
+        and entry.address == settings.peer
+    ):
         reporter.mark_registered()
         heartbeat_handler.restore_target(entry.target, entry.draining, "store")
+    # The balancers in the store may know of a draining that the entry does not tell.
+    await loading
+    reporter.mark_entry_read()
 
 
 async def _complete(store, reporter, reconciler, loading):
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -58,6 +58,9 @@
     unreported_flows: int = 0
     updated_at: float = 0.0
     last_report_at: float | None = None
+    # Whether the present run of the agent has named its target. Until then, the target
+    # that an earlier run named is kept, since a restarted agent asks for it.
+    has_named_target: bool = False
 
 
 class AgentDirectory:
@@ -129,6 +132,14 @@
                 self._departed.popitem(last=False)
             self.remove(report.node)
             return "gone"
+        target, draining = report.target, report.draining
+        has_named_target = bool(target) or (
+            held is not None
+            and held.incarnation == report.incarnation
+            and held.has_named_target
+        )
+        if held is not None and not has_named_target:
+            target, draining = held.member.target, held.member.draining
         member = Member(
             node=report.node,
             # Flows belong to the target, so a restarted agent is the same member.
@@ -137,8 +148,8 @@
             control=report.address,
             data_centre=report.data_centre,
             service=report.service,
-            target=report.target,
-            draining=report.draining,
+            target=target,
+            draining=draining,
         )
         agent = _Agent(
             member,
@@ -150,6 +161,7 @@
             report.interval_s,
             updated_at=now,
             last_report_at=now,
+            has_named_target=has_named_target,
         )
         self._agents[report.node] = agent
         if held is not None and (held.member, held.open) == (member, report.open):
--- a/tests/membership/test_directory.py
+++ b/tests/membership/test_directory.py
@@ -171,3 +171,24 @@
         self.assertEqual(
             msgspec.msgpack.decode(data, type=AgentReport), report(gone=True)
         )
+
+
+class UnnamedTargetTest(unittest.TestCase):
+    """A restarted agent reports before it knows its target."""
+
+    def test_what_an_earlier_run_said_of_the_target_is_kept(self):
+        # A lost acknowledgement would otherwise lose the record of a draining target.
+        directory = AgentDirectory()
+        directory.apply_report(report(draining=True, open=False), 0.0)
+        for sequence in (1, 2):
+            unnamed = report(incarnation=2, sequence=sequence, target="", open=False)
+            directory.apply_report(unnamed, 0.1 * sequence)
+            known = directory.find("side-1")
+            self.assertEqual((known.target, known.draining), ("i-1", True))
+
+    def test_the_goodbye_of_a_named_target_removes_it(self):
+        directory = AgentDirectory()
+        directory.apply_report(report(draining=True), 0.0)
+        directory.apply_report(report(sequence=2, target="", open=False), 0.1)
+        known = directory.find("side-1")
+        self.assertEqual((known.target, known.draining), ("", False))
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -161,6 +161,27 @@
         self.assertIsNone(await self.client.get(KIND, "side-1"))
         task.cancel()
 
+    async def test_a_change_during_a_write_is_not_in_sync_before_it_is_written(self):
+        # Guards against an acknowledgement of draining while the store says ready.
+        reconciler = EntryReconciler(self.client, KIND, "side-1", random.Random(1))
+        write, in_sync_before = self.client.write, []
+
+        async def write_and_change(kind, name, spec, version):
+            in_sync_before.append(reconciler.in_sync.is_set())
+            written = await write(kind, name, spec, version)
+            if not spec["draining"]:
+                reconciler.set_desired(entry(draining=True))
+            return written
+
+        self.client.write = write_and_change
+        task = asyncio.ensure_future(reconciler.run())
+        reconciler.set_desired(entry())
+        await asyncio.wait_for(reconciler.in_sync.wait(), WAIT_S)
+        stored = await self.client.get(KIND, "side-1")
+        self.assertTrue(stored.spec["draining"])
+        self.assertEqual(in_sync_before, [False, False])
+        task.cancel()
+
     async def test_an_object_may_have_any_name(self):
         for name in ("side-1", "a b", "a/b?c=1", "ü"):
             await self.client.write(KIND, name, {"node": name}, "")
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -5,6 +5,9 @@
 
 from ryesaddle.cli.passthrough_operator import PassthroughOperator
 from ryesaddle.cli.report import flow_lines
+from ryesaddle.daemons.passthrough.heartbeat_handler import RECORD_TIMEOUT_S
+from ryesaddle.daemons.passthrough.process import TARGET_KIND
+from ryesaddle.internal.membership.readiness_gate import ACK_TIMEOUT_S
 from ryesaddle.internal.store.client import StoreClient
 from ryesaddle.platform.objects import PlatformObjects
 from tests.support.packets import ACK, SYN
@@ -162,6 +165,54 @@
         await deployment.wait_until(lambda: deployment.caller.is_open(port))
         self.assertEqual(len(draining_target.opened), before)
 
+    async def test_draining_holds_if_the_agent_is_killed_once_it_has_acknowledged(self):
+        # The store refuses calls and later has an entry that says ready. Only the
+        # balancers know of the draining.
+        deployment = self.deployment
+        draining_target, ready_target = deployment.targets
+        host = deployment.agent_hosts[0]
+        await deployment.wait_until(
+            lambda: "event=entry-written" in deployment.log(host)
+        )
+        await deployment.store_call("PUT", "/faults", {"down": True})
+        # A heartbeat that was sent earlier may still be acknowledged.
+        await asyncio.sleep(0.3)
+        draining_target.state = "draining"
+        await deployment.wait_until(lambda: draining_target.drain_acknowledged)
+        deployment.kill(host)
+        draining_target.state = "silent"
+        await deployment.store_call("PUT", "/faults", {})
+        before = len(draining_target.opened)
+        deployment.start_process(host)
+        await deployment.wait_until(lambda: self.is_restored(host))
+        await asyncio.sleep(ACK_TIMEOUT_S)
+        for number in range(12):
+            await deployment.open_flow(deployment.balancer_hosts[number % 2])
+        self.assertEqual(len(draining_target.opened), before)
+        self.assertGreaterEqual(len(ready_target.opened), 12)
+
+    async def test_draining_is_acknowledged_only_once_it_is_recorded(self):
+        deployment = self.deployment
+        draining_target, host = deployment.targets[0], deployment.agent_hosts[0]
+        await deployment.wait_until(
+            lambda: "event=entry-written" in deployment.log(host)
+        )
+        await deployment.store_call("PUT", "/faults", {"down": True})
+        for balancer in deployment.balancer_hosts:
+            deployment.kill(balancer)
+        draining_target.state = "draining"
+        await asyncio.sleep(2 * RECORD_TIMEOUT_S)
+        self.assertFalse(draining_target.drain_acknowledged)
+        await deployment.store_call("PUT", "/faults", {})
+        await deployment.wait_until(lambda: draining_target.drain_acknowledged)
+        api = PlatformObjects(lambda: deployment.store)
+        stored = await StoreClient(api, random.Random(1)).get(TARGET_KIND, host)
+        self.assertTrue(stored.spec["draining"])
+
+    async def is_restored(self, host):
+        found = await self.deployment.status(host)
+        return found is not None and found["target"] != ""
+
     async def draining_is_stored(self):
         found = await self.deployment.get(self.deployment.agent_hosts[0], "/status")
         log = self.deployment.log(self.deployment.agent_hosts[0])
--- a/tests/routing/test_passthrough.py
+++ b/tests/routing/test_passthrough.py
@@ -14,6 +14,7 @@
 
 from ryesaddle.daemons.passthrough.agent import CHECK_INTERVAL_S, CONFIRMATION_DELAY_S
 from ryesaddle.internal.address import Address
+from ryesaddle.internal.membership.drain_record import DrainRecord
 from ryesaddle.internal.membership.readiness_gate import ACK_TIMEOUT_S, ReadinessGate
 from ryesaddle.internal.routing.packet import Flow
 from ryesaddle.internal.routing.search import ANSWER_TIMEOUT_S, PROBE_BURST, Searches
@@ -132,17 +133,36 @@
         if confirmed:
             self.world.report(number)
 
-    @rule(number=agents)
-    def restart_agent(self, number):
+    @rule(number=agents, unreachable=st.sampled_from([None, *BALANCERS]))
+    def restart_agent(self, number, unreachable):
         if number in self.world.agents:
             _, target = self.world.agents[number]
+            self.world.is_lost = self.lost_messages({unreachable})
             self.world.start_agent(number, SERVICE, target)
+            self.world.is_lost = lambda source, to: False
 
     @rule(number=agents)
     def drain(self, number):
         if number in self.world.agents:
             self.world.agents[number][1].draining = True
+            assert self.world.heartbeat(number).result(0) == 200
+
+    @rule(number=agents, unreachable=st.sets(balancers))
+    def kill_agent_after_draining_heartbeat(self, number, unreachable):
+        """The store is unavailable, and the target stays silent afterwards."""
+        if number in self.world.agents:
+            _, target = self.world.agents[number]
+            self.world.store_is_down = True
+            self.world.is_lost = self.lost_messages(unreachable)
+            target.draining = True
             self.world.heartbeat(number)
+            self.world.is_lost = lambda source, to: False
+            self.world.store_is_down = False
+            self.world.start_agent(number, SERVICE, target)
+
+    def lost_messages(self, unreachable):
+        hosts = {f"10.0.1.{number}" for number in unreachable}
+        return lambda source, to: source.host in hosts or to.host in hosts
 
     @rule(number=agents)
     def remove_agent_without_flows(self, number):
@@ -184,6 +204,18 @@
         with patch, self.assertRaises(AssertionError):
             run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
 
+    def test_state_machine_detects_an_acknowledgement_that_is_not_recorded(self):
+        patch = mock.patch.object(
+            DrainRecord, "is_complete", lambda self, target, balancers: True
+        )
+        with patch, self.assertRaises(AssertionError):
+            run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
+
+    def test_state_machine_detects_a_restored_target_that_opens_unconfirmed(self):
+        patch = mock.patch.object(TargetState, "is_certain", lambda self: True)
+        with patch, self.assertRaises(AssertionError):
+            run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
+
     def test_state_machine_detects_an_agent_that_wrongly_claims_to_know_all_flows(self):
         patch = mock.patch.object(TargetFlows, "is_complete", lambda self, now: True)
         with patch, self.assertRaises(AssertionError):
--- a/tests/support/passthrough.py
+++ b/tests/support/passthrough.py
@@ -1,6 +1,8 @@
 """Simulates balancers, agents and targets without sockets or a real clock."""
 
+import asyncio
 from collections import deque
+from concurrent.futures import Future
 
 from ryesaddle.daemons.passthrough.agent import PassthroughAgent
 from ryesaddle.daemons.passthrough.agent_monitor import AgentMonitor
@@ -91,11 +93,16 @@
     def __init__(self, simulation, node):
         self._simulation = simulation
         self._node = node
+        self.in_sync = asyncio.Event()
 
     def forget_stored(self):
         pass
 
     def set_desired(self, entry):
+        if self._simulation.store_is_down:
+            self.in_sync.clear()
+            return
+        self.in_sync.set()
         if entry is None:
             self._simulation.entries.pop(self._node, None)
         else:
@@ -119,6 +126,7 @@
         self.flows = set()
         self.sequence = 0
         self.draining = False
+        self.drain_acknowledged = False
         self.accepted_while_draining = []
 
     def report(self):
@@ -143,6 +151,7 @@
         self.heartbeats = {}
         self.entries = {}
         self.balancer_entries = {}
+        self.store_is_down = False
         self.sent_by_callers = set()
         self.resets = []
         self.answers = []
@@ -175,8 +184,9 @@
         end = self.now + seconds
         while self.now < end:
             self.now = min(end, self.now + 0.05)
-            for agent, _ in self.agents.values():
+            for number, (agent, _) in self.agents.items():
                 agent.run_periodic_checks()
+                self.heartbeats[number].check_pending_answers()
             self.settle()
             for balancer in self.balancers.values():
                 balancer.continue_searches()
@@ -245,9 +255,11 @@
         me = Candidate(node, address)
         router = AgentRouter(me, service, target_state, flows, queue)
         router.known_to_balancers = False
+        target_state.restored_confirmed = False
         messages = FakeMessages(self, address)
         for cls in (PassthroughAgent, Reporter, HeartbeatHandler):
             cls._now = lambda _: self.now
+        HeartbeatHandler._new_future = lambda _: Future()
         reporter = Reporter(
             settings, self._agent_starts, target_state, router, messages
         )
@@ -272,7 +284,7 @@
             Metrics(),
         )
         heartbeats.on_target_started = agent.verify_flows
-        held = self.entries.get(node)
+        held = None if self.store_is_down else self.entries.get(node)
         if held is not None and held.service == service:
             reporter.mark_registered()
             heartbeats.restore_target(held.target, held.draining, "store")
@@ -281,6 +293,8 @@
         self.reporters[number] = reporter
         self.heartbeats[number] = heartbeats
         reporter.add_balancers([e.address for e in self.balancer_entries.values()])
+        if not self.store_is_down:
+            reporter.mark_entry_read()
         self.settle()
 
     def stop_agent(self, number, gone=True):
@@ -293,9 +307,22 @@
         self._by_address.pop(Address(f"10.0.2.{number}", 7000))
 
     def heartbeat(self, number):
+        """Send a heartbeat of a target; return a future of the response's status."""
         _, target = self.agents[number]
-        self.heartbeats[number].handle_heartbeat(target.report())
+        is_draining, status = target.draining, Future()
+
+        def answer(reply):
+            if is_draining and reply.status == 200:
+                target.drain_acknowledged = True
+            status.set_result(reply.status)
+
+        reply = self.heartbeats[number].handle_heartbeat(target.report())
+        if isinstance(reply, Future):
+            reply.add_done_callback(lambda done: answer(done.result()))
+        else:
+            answer(reply)
         self.settle()
+        return status
 
     def report(self, number):
         self.reporters[number].report()
@@ -307,7 +334,7 @@
             "packet differs from every packet that a caller sent"
         )
         found = PlatformPackets().read_caller(without_mutable_fields(data))
-        if found.opens and target.draining:
+        if found.opens and target.drain_acknowledged:
             target.accepted_while_draining.append(found.flow)
         assert found.flow.front == (FRONT if target.service == SERVICE else OTHER_FRONT)
         if found.opens:
--- a/tests/support/platform_deployment.py
+++ b/tests/support/platform_deployment.py
@@ -68,6 +68,7 @@
         self.state, self.sequence = "ready", 0
         self.flows, self.opened, self.answered = set(), [], []
         self.acknowledged = 0
+        self.drain_acknowledged = False
         self._transport = None
 
     async def open(self):
@@ -109,8 +110,12 @@
 
     async def heartbeat(self):
         self.sequence += 1
+        is_draining = self.state == "draining"
         body = json.dumps(self.report()).encode()
-        self.acknowledged += await self.post_heartbeat(body)
+        is_acknowledged = await self.post_heartbeat(body)
+        self.acknowledged += is_acknowledged
+        if is_draining and is_acknowledged:
+            self.drain_acknowledged = True
 
     def report(self):
         """Return the fields of a heartbeat."""
