Handle a store that returns from a copy some seconds old

Cause: the header Store-Era was not read. After such a return, revisions are issued again, entries are lost and deletions undone, and a balancer that starts then takes an incomplete list for the whole.

Change: HttpReply gives headers. PlatformObjects reads the era of each answer, rejects answers of a former era, and writes and deletes only with a revision of the current era (a resource version now holds its era). EraTracker decides when the store is settled. In a new era every process checks its own entry within 1 s; balancers tell each other by gossip and the agents by AgentReportAck at once. AgentDirectory.complete is withdrawn until the entries are listed again 2 s after the era was first seen. Balancers record the settled era in their entries, so that a restart need not wait. EntryCleaner pauses meanwhile.

--- a/src/ryesaddle/daemons/passthrough/agent_monitor.py
+++ b/src/ryesaddle/daemons/passthrough/agent_monitor.py
@@ -6,6 +6,7 @@
 from ryesaddle.internal.log import event
 from ryesaddle.internal.membership.directory import TargetEntry
 from ryesaddle.internal.membership.report_schedule import report_interval_s
+from ryesaddle.internal.store.era import EraTracker
 from ryesaddle.internal.wire.passthrough import (
     AgentReport,
     AgentReportAck,
@@ -31,13 +32,16 @@
         The known agents and their state.
     liveness : Liveness
         Tracks which agents have not answered.
+    eras : EraTracker, optional
+        Tracks the eras of the store.
     """
 
-    def __init__(self, entry, messages, directory, liveness):
+    def __init__(self, entry, messages, directory, liveness, eras=None):
         self._entry = entry
         self._messages = messages
         self._directory = directory
         self._liveness = liveness
+        self._eras = eras or EraTracker()
         messages.on(AgentReport, self._on_report)
 
     def digest(self):
@@ -98,6 +102,15 @@
             if member is not None and member.target:
                 self._messages.send(member.address, request)
 
+    def announce_era(self):
+        """Tell all agents the era of the store, which they seldom call."""
+        # No agent has incarnation 0, so this confirms none.
+        interval_s = report_interval_s(len(self._directory))
+        ack = AgentReportAck(
+            self._entry.node, 0, interval_s=interval_s, store_era=self._eras.era
+        )
+        self._messages.send_all([m.address for m in self._directory.members()], ack)
+
     async def run(self):
         """Request reports from agents that have not answered, until cancelled."""
         request = ReportRequest(self._entry.node, self._entry.address)
@@ -116,7 +129,12 @@
             draining = known.draining if known else False
             interval_s = report_interval_s(len(self._directory))
             ack = AgentReportAck(
-                self._entry.node, report.incarnation, target, draining, interval_s
+                self._entry.node,
+                report.incarnation,
+                target,
+                draining,
+                interval_s,
+                store_era=self._eras.era,
             )
             self._messages.send(report.address, ack)
         self._liveness.heard(report.node)
--- a/src/ryesaddle/daemons/passthrough/entry.py
+++ b/src/ryesaddle/daemons/passthrough/entry.py
@@ -13,13 +13,17 @@
 
 # Entries must be written within 2 s after the end of a store outage.
 RETRY_BACKOFF = Backoff(0.2, 1.5)
+# When the store has gone back, all processes check their entries within this time,
+# half of `ERA_SETTLE_S`.
+RENEWAL_SPREAD_S = 1.0
 
 
 class EntryReconciler:
     """Reconciles one entry in the store with its desired content.
 
     The entry is written only when the desired content has changed, and retried until
-    the store has it.
+    the store has it. In a new era of the store it is read again, and written if it
+    differs.
 
     Parameters
     ----------
@@ -29,6 +33,8 @@
         Kind and name of the entry.
     rng : random.Random
         Source of jitter.
+    kept_fields : tuple of str
+        Fields of the stored entry that are kept if the desired content lacks them.
 
     Attributes
     ----------
@@ -38,15 +44,17 @@
         Whether this process has written the entry.
     """
 
-    def __init__(self, store, kind, name, rng):
+    def __init__(self, store, kind, name, rng, kept_fields=()):
         self._store = store
         self._kind = kind
         self._name = name
         self._rng = rng
+        self._kept_fields = kept_fields
         self._desired = None
+        self._has_desired = False
         self._changed = asyncio.Event()
         self._stored = None
-        self._knows_stored = False
+        self._known_in_era = None
         self.in_sync = asyncio.Event()
         self.written = False
 
@@ -61,16 +69,28 @@
         stored : StoreObject or None
             The entry, None if the store has none.
         """
-        self._stored, self._knows_stored = stored, True
+        self._stored, self._known_in_era = stored, self._store.era
 
     def forget_stored(self):
         """Read the entry before the next write, as another process has changed it."""
-        self._stored, self._knows_stored = None, False
+        self._stored, self._known_in_era = None, None
+
+    def renew(self):
+        """Check the entry within `RENEWAL_SPREAD_S`, since the store has gone back.
+
+        A change of the desired content is written at once.
+        """
+        if not self._has_desired:
+            return
+        self.in_sync.clear()
+        delay_s = self._rng.uniform(0, RENEWAL_SPREAD_S)
+        asyncio.get_running_loop().call_later(delay_s, self._changed.set)
 
     def set_desired(self, entry):
         """Set the desired content: a struct, or None to delete the entry."""
         # In the form that the store returns, since JSON has no tuples.
         self._desired = msgspec.json.decode(msgspec.json.encode(entry))
+        self._has_desired = True
         self.in_sync.clear()
         self._changed.set()
 
@@ -99,7 +119,8 @@
                 await asyncio.sleep(RETRY_BACKOFF.delay(attempt, self._rng))
                 attempt += 1
                 continue
-            self.in_sync.set()
+            if not self._changed.is_set():
+                self.in_sync.set()
             return
 
     async def _reconcile(self):
@@ -112,15 +133,18 @@
                 self.assume_stored(None)
                 event(log, "entry-removed", kind=self._kind, name=self._name)
             return
-        if stored is not None and stored.spec == desired:
-            return
+        if stored is not None:
+            kept = {k: v for k, v in stored.spec.items() if k in self._kept_fields}
+            desired = {**kept, **desired}
+            if stored.spec == desired:
+                return
         written = await self._store.write(self._kind, self._name, desired, version)
         self.assume_stored(written)
         self.written = True
         event(log, "entry-written", kind=self._kind, name=self._name, spec=desired)
 
     async def _read_stored(self):
-        if not self._knows_stored:
+        if self._known_in_era != self._store.era:
             stored = await self._store.get(self._kind, self._name, attempts=1)
             self.assume_stored(stored)
         return self._stored
--- a/src/ryesaddle/daemons/passthrough/entry_cleaner.py
+++ b/src/ryesaddle/daemons/passthrough/entry_cleaner.py
@@ -49,6 +49,11 @@
                 self._peers.live_names()
             ):
                 continue
+            # A list of a store that has just gone back lacks entries that are being
+            # written again, and holds others that were deleted.
+            now = asyncio.get_running_loop().time()
+            if self._store.eras.settle_delay_s(now):
+                continue
             try:
                 live = {self._node, *self._peers.live_names()}
                 await self._delete_stale(BALANCER_KIND, BalancerEntry, live)
--- a/src/ryesaddle/daemons/passthrough/http.py
+++ b/src/ryesaddle/daemons/passthrough/http.py
@@ -57,11 +57,14 @@
         Complete body.
     content_type : str
         Media type of the body.
+    headers : dict of str to str
+        Further header fields; the names of received ones are in lower case.
     """
 
     status: int
     body: bytes = b""
     content_type: str = "application/json"
+    headers: dict[str, str] = {}
 
 
 class HttpServer:
@@ -195,10 +198,11 @@
 
 
 def _encode_reply(reply):
+    fields = "".join(f"{name}: {value}\r\n" for name, value in reply.headers.items())
     head = (
         f"HTTP/1.1 {reply.status} {REASON_PHRASES.get(reply.status, 'Status')}\r\n"
         f"Content-Type: {reply.content_type}\r\n"
-        f"Content-Length: {len(reply.body)}\r\n\r\n"
+        f"Content-Length: {len(reply.body)}\r\n{fields}\r\n"
     )
     return head.encode() + reply.body
 
@@ -249,6 +253,7 @@
         self._request_body = body
         self._parser = httptools.HttpResponseParser(self)
         self._body, self._size = [], 0
+        self._headers = {}
         self.sent = False
         self.reply = asyncio.get_running_loop().create_future()
         # Marks the exception as retrieved; nobody awaits the reply after a timeout.
@@ -269,6 +274,9 @@
         except httptools.HttpParserError as exc:
             self._fail(f"malformed answer ({exc})")
 
+    def on_header(self, name, value):
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
     def on_body(self, body):
         self._size += len(body)
         if self._size > MAX_REPLY_BYTES:
@@ -278,8 +286,13 @@
 
     def on_message_complete(self):
         if not self.reply.done():
-            status = self._parser.get_status_code()
-            self.reply.set_result(HttpReply(status, b"".join(self._body)))
+            reply = HttpReply(
+                self._parser.get_status_code(),
+                b"".join(self._body),
+                self._headers.get("content-type", ""),
+                self._headers,
+            )
+            self.reply.set_result(reply)
 
     def connection_lost(self, exc):
         self._fail(f"connection lost ({exc!r})")
--- a/src/ryesaddle/daemons/passthrough/peers.py
+++ b/src/ryesaddle/daemons/passthrough/peers.py
@@ -12,6 +12,7 @@
 from ryesaddle.internal.membership.fetch_schedule import FetchSchedule
 from ryesaddle.internal.membership.isolation import is_isolated
 from ryesaddle.internal.routing.route import RouteTable
+from ryesaddle.internal.store.era import EraTracker
 from ryesaddle.internal.wire.passthrough import Gossip
 
 log = logging.getLogger(__name__)
@@ -23,7 +24,7 @@
 STATE_PATH = "/state"
 
 
-class BalancerEntry(msgspec.Struct, frozen=True, kw_only=True):
+class BalancerEntry(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Entry of a balancer in the store.
 
     Attributes
@@ -32,12 +33,16 @@
         Name and data centre of the balancer.
     address, control : Address
         Where it receives messages, and HTTP calls.
+    settled_era : int
+        Latest era of the store that it had seen for `ERA_SETTLE_S`. A balancer that
+        finds its present era here need not wait until the store is settled.
     """
 
     node: str
     data_centre: str
     address: Address
     control: Address
+    settled_era: int = 0
 
 
 class SharedState(msgspec.Struct, frozen=True):
@@ -63,6 +68,8 @@
         Holds the current routes.
     agent_monitor : AgentMonitor
         Tracks the agents.
+    eras : EraTracker, optional
+        Tracks the eras of the store.
 
     Attributes
     ----------
@@ -72,12 +79,15 @@
         Whether this balancer is about to stop.
     """
 
-    def __init__(self, entry, incarnation, messages, route_updater, agent_monitor):
+    def __init__(
+        self, entry, incarnation, messages, route_updater, agent_monitor, eras=None
+    ):
         self.entry = entry
         self._incarnation = incarnation
         self._messages = messages
         self._route_updater = route_updater
         self._agent_monitor = agent_monitor
+        self._eras = eras or EraTracker()
         self._peers = {}
         self._last_heard = {}
         self._live_agent_counts = {}
@@ -117,6 +127,7 @@
             agents_digest=self._agent_monitor.digest(),
             live_agent_count=len(self._agent_monitor.live_names()),
             leaving=self.leaving,
+            store_era=self._eras.era,
         )
         self._messages.send_all(self._peers, msg)
 
@@ -204,6 +215,7 @@
         self._last_heard[msg.address] = now
         self._live_agent_counts[msg.address] = msg.live_agent_count
         self._route_updater.record_peer_read(msg.node, msg.read_age_ms / 1000, now)
+        self._eras.learn(msg.store_era, now)
         if self._should_fetch(msg, now):
             task = asyncio.get_running_loop().create_task(self._fetch_from_peer(msg))
             self._tasks.add(task)
--- a/src/ryesaddle/daemons/passthrough/reporter.py
+++ b/src/ryesaddle/daemons/passthrough/reporter.py
@@ -9,6 +9,7 @@
     REPORT_INTERVAL_S,
     ReportSchedule,
 )
+from ryesaddle.internal.store.era import EraTracker
 from ryesaddle.internal.wire.passthrough import (
     AgentReport,
     AgentReportAck,
@@ -34,14 +35,19 @@
         Provide the state that is reported.
     messages : MessageSocket
         Exchanges messages with balancers.
+    eras : EraTracker, optional
+        Tracks the eras of the store.
     """
 
-    def __init__(self, settings, incarnation, target_state, router, messages):
+    def __init__(
+        self, settings, incarnation, target_state, router, messages, eras=None
+    ):
         self._settings = settings
         self._incarnation = incarnation
         self._target_state = target_state
         self._router = router
         self._messages = messages
+        self._eras = eras or EraTracker()
         self._readiness_gate = ReadinessGate(self._now())
         self._schedule = ReportSchedule()
         self._sequence = 0
@@ -141,6 +147,7 @@
     def _on_ack(self, ack, addr):
         self._schedule.record_contact(addr, self._now())
         self._schedule.set_interval(addr, ack.interval_s)
+        self._eras.learn(ack.store_era, self._now())
         if ack.incarnation == self._incarnation:
             self._readiness_gate.confirmed(addr)
             if not self._router.known_to_balancers:
--- a/src/ryesaddle/daemons/passthrough/run_agent.py
+++ b/src/ryesaddle/daemons/passthrough/run_agent.py
@@ -92,7 +92,9 @@
     messages = MessageSocket(bound_socket, metrics)
     target_socket = PacketSocket(lambda data, addr: agent.on_target_packet(data, addr))
     reconciler = EntryReconciler(store, TARGET_KIND, settings.node, rng)
-    reporter = Reporter(settings, incarnation, target_state, router, messages)
+    reporter = Reporter(
+        settings, incarnation, target_state, router, messages, store.eras
+    )
     heartbeat_handler = HeartbeatHandler(
         settings, target_state, flows, reporter, reconciler, metrics
     )
@@ -109,6 +111,14 @@
         metrics,
     )
     heartbeat_handler.on_target_started = agent.verify_flows
+    new_era = asyncio.Event()
+
+    def on_new_era(former, era):
+        event(log, "store-era", era=era, before=former)
+        reconciler.renew()
+        new_era.set()
+
+    store.eras.subscribe(on_new_era)
 
     def status():
         return {
@@ -123,6 +133,7 @@
             "waiting": len(queue),
             "service_s": round(flows.service_s, 4),
             "store_calls": store.calls,
+            "store_era": store.era,
         }
 
     admin = Admin(metrics, status, lambda caller: flows.describe(caller, loop.time()))
@@ -158,7 +169,7 @@
     tasks.start(agent.run)
     tasks.start(agent.watch)
     tasks.start(reconciler.run)
-    tasks.start(_complete, store, reporter, reconciler, loading)
+    tasks.start(_keep_complete, store, reporter, reconciler, loading, new_era)
     await stop.wait()
     event(log, "stopping", node=settings.node, flows=len(flows))
     router.draining = True
@@ -218,19 +229,24 @@
         heartbeat_handler.restore_target(entry.target, entry.draining, "store")
 
 
-async def _complete(store, reporter, reconciler, loading):
-    """List the balancers again if this process has written its own entry.
+async def _keep_complete(store, reporter, reconciler, loading, new_era):
+    """List the balancers again after this process has written its own entry.
 
     A balancer that was registered after the first list is either in the second one or
-    finds this agent's entry in its own list.
+    finds this agent's entry in its own list. In a new era of the store, all processes
+    register again.
     """
     loaded = await loading
-    await reconciler.in_sync.wait()
-    while reconciler.written or not loaded:
-        loaded = await _load_balancers(store, reporter)
-        if loaded:
-            return
-        await asyncio.sleep(RELIST_INTERVAL_S)
+    while True:
+        await reconciler.in_sync.wait()
+        while reconciler.written or not loaded:
+            loaded = await _load_balancers(store, reporter)
+            if loaded:
+                break
+            await asyncio.sleep(RELIST_INTERVAL_S)
+        await new_era.wait()
+        new_era.clear()
+        loaded = False
 
 
 async def _drain(flows, target_state, limit_s):
--- a/src/ryesaddle/daemons/passthrough/run_balancer.py
+++ b/src/ryesaddle/daemons/passthrough/run_balancer.py
@@ -5,6 +5,8 @@
 import random
 import time
 
+import msgspec
+
 from ryesaddle.daemons.passthrough.admin import Admin
 from ryesaddle.daemons.passthrough.agent_monitor import AgentMonitor
 from ryesaddle.daemons.passthrough.balancer import PassthroughBalancer
@@ -82,8 +84,12 @@
     route_updater = RouteUpdater(
         settings.node, lambda: read_routes(store), settings.configuration_ms / 1000
     )
-    agent_monitor = AgentMonitor(own_entry, messages, directory, placement.liveness)
-    peers = Peers(own_entry, incarnation, messages, route_updater, agent_monitor)
+    agent_monitor = AgentMonitor(
+        own_entry, messages, directory, placement.liveness, store.eras
+    )
+    peers = Peers(
+        own_entry, incarnation, messages, route_updater, agent_monitor, store.eras
+    )
     balancer = PassthroughBalancer(
         settings,
         packets,
@@ -94,7 +100,20 @@
         callers_socket,
         metrics,
     )
-    reconciler = EntryReconciler(store, BALANCER_KIND, settings.node, rng)
+    reconciler = EntryReconciler(
+        store, BALANCER_KIND, settings.node, rng, kept_fields=("settled_era",)
+    )
+    new_era = asyncio.Event()
+
+    def on_new_era(former, era):
+        event(log, "store-era", era=era, before=former)
+        directory.complete = False
+        reconciler.renew()
+        new_era.set()
+        peers.send_gossip()
+        agent_monitor.announce_era()
+
+    store.eras.subscribe(on_new_era)
 
     def status():
         return {
@@ -107,6 +126,8 @@
             "open_agents": directory.count_open(),
             "balancers": len(peers.live_names()) + 1,
             "store_calls": store.calls,
+            "store_era": store.era,
+            "complete": directory.complete,
             "leaving": peers.leaving,
         }
 
@@ -147,7 +168,16 @@
     tasks.start(agent_monitor.run)
     tasks.start(balancer.run)
     tasks.start(EntryCleaner(settings.node, store, peers, agent_monitor).run)
-    tasks.start(_complete, store, agent_monitor, peers, directory, reconciler, loading)
+    tasks.start(
+        _keep_complete,
+        store,
+        agent_monitor,
+        peers,
+        directory,
+        reconciler,
+        loading,
+        new_era,
+    )
     await stop.wait()
     event(log, "stopping", node=settings.node)
     await _drain(balancer, peers, settings.stop_limit_s - STOP_MARGIN_S)
@@ -159,8 +189,8 @@
     """Read routes and entries from the store; return whether all reads succeeded."""
     read, *listed = await asyncio.gather(
         route_updater.read(),
-        _load_entries(store, TARGET_KIND, TargetEntry, agent_monitor.add_entries),
-        _load_entries(store, BALANCER_KIND, BalancerEntry, peers.add_entries),
+        _load_targets(store, agent_monitor),
+        _load_balancers(store, peers),
     )
     return read and all(listed)
 
@@ -175,25 +205,54 @@
             return
 
 
-async def _complete(store, agent_monitor, peers, directory, reconciler, loading):
-    """List the entries again if this process has written its own entry.
+async def _keep_complete(
+    store, agent_monitor, peers, directory, reconciler, loading, new_era
+):
+    """Complete the directory after the start, and in each new era of the store.
 
-    A process that was registered after the first list is either in the second one or
-    finds this balancer's entry in its own list. After that, the directory is complete.
+    The entries are listed again if this process has written its own entry: a process
+    that was registered after the first list is either in the second one or finds this
+    balancer's entry in its own list. In a new era, and if this process cannot tell
+    how old the era is, they are listed once the store is settled.
     """
+    loop = asyncio.get_running_loop()
     loaded = await loading
-    await reconciler.in_sync.wait()
-    while reconciler.written or not loaded:
-        loaded = await _load_entries(
-            store, TARGET_KIND, TargetEntry, agent_monitor.add_entries
-        )
-        loaded &= await _load_entries(
-            store, BALANCER_KIND, BalancerEntry, peers.add_entries
-        )
-        if loaded:
-            break
-        await asyncio.sleep(RELIST_INTERVAL_S)
-    directory.complete = True
+    while True:
+        new_era.clear()
+        await reconciler.in_sync.wait()
+        settle_delay_s = store.eras.settle_delay_s(loop.time())
+        if settle_delay_s:
+            await asyncio.sleep(settle_delay_s)
+            loaded = False
+        while reconciler.written or not loaded:
+            loaded = await _load_targets(store, agent_monitor)
+            loaded &= await _load_balancers(store, peers)
+            if loaded:
+                break
+            await asyncio.sleep(RELIST_INTERVAL_S)
+        if not new_era.is_set():
+            directory.complete = True
+            event(log, "agents-complete", agents=len(directory), era=store.era)
+            if store.era:
+                entry = msgspec.structs.replace(peers.entry, settled_era=store.era)
+                reconciler.set_desired(entry)
+            await new_era.wait()
+        loaded = False
+
+
+async def _load_targets(store, agent_monitor):
+    return await _load_entries(
+        store, TARGET_KIND, TargetEntry, agent_monitor.add_entries
+    )
+
+
+async def _load_balancers(store, peers):
+    def add_entries(entries):
+        if any(entry.settled_era == store.era for entry in entries):
+            store.eras.mark_settled(store.era)
+        peers.add_entries(entries)
+
+    return await _load_entries(store, BALANCER_KIND, BalancerEntry, add_entries)
 
 
 async def _load_entries(store, kind, struct, add_entries):
--- a/src/ryesaddle/internal/store/client.py
+++ b/src/ryesaddle/internal/store/client.py
@@ -31,6 +31,13 @@
         Delays between attempts.
     metrics : Metrics, optional
         Receives the counts and durations of calls.
+
+    Attributes
+    ----------
+    eras : EraTracker
+        Tracks the eras of the store; see `ObjectApi`.
+    calls : int
+        Number of calls made.
     """
 
     def __init__(self, api, rng, backoff=Backoff(), metrics=None):  # noqa: B008
@@ -39,8 +46,14 @@
         self._rng = rng
         self._backoff = backoff
         self._bucket = TokenBucket(MAX_CALLS_PER_S, CALL_BURST)
+        self.eras = api.eras
         self.calls = 0
 
+    @property
+    def era(self):
+        """The latest era of the store; when a call returns, that of its result."""
+        return self.eras.era
+
     async def get(self, kind, name, attempts=READ_ATTEMPTS):
         """Return the `StoreObject`, or None if it does not exist.
 
@@ -54,6 +67,8 @@
     async def list(self, kind, stale=False, attempts=READ_ATTEMPTS):
         """Return the objects of a kind and the resource version to watch from.
 
+        All pages are of one era: if it changes meanwhile, the list starts again.
+
         Parameters
         ----------
         kind : str
@@ -63,11 +78,15 @@
         attempts : int
             Number of attempts for each page.
         """
-        items, after, version = [], "", None
+        items, after, version, era = [], "", None, None
         while True:
             page = await self._retry(
                 lambda name=after: self._api.read_page(kind, name, stale), attempts
             )
+            if era is not None and era != self.era:
+                items, after, version, era = [], "", None, None
+                continue
+            era = self.era
             items += page.items
             # A watch from the first page's version also reports the changes made
             # while the later pages were read.
@@ -82,6 +101,11 @@
         If the response is lost, the object is read back: each write stores a unique
         identifier in an annotation, which shows whether it took effect.
 
+        A version that was read in a former era of the store is never sent. The store
+        may return from a copy while a write is on its way, so that the revision
+        matches by accident; only one writer may therefore write an object that must
+        not lose an update.
+
         Returns
         -------
         StoreObject
@@ -90,18 +114,18 @@
         Raises
         ------
         ConflictError
-            If the object has another version now.
+            If the object has another version now, or the version is of a former era.
         StoreUnavailableError
             If the write certainly did not take effect.
         UncertainWriteError
             If it could not be determined whether the write took effect.
         """
-        write_id = uuid.uuid4().hex
+        write_id, era = uuid.uuid4().hex, self.era
         obj = new_object(kind, name, spec, version, write_id)
         try:
             return await self._write_once(obj)
         except UncertainWriteError:
-            return await self._resolve_uncertain_write(obj)
+            return await self._resolve_uncertain_write(obj, era)
         except ConflictError:
             # The HTTP client may have retransmitted the request, so the conflict
             # may be with this same write.
@@ -116,7 +140,7 @@
         Raises
         ------
         ConflictError
-            If the object has another version now.
+            If the object has another version now, or the version is of a former era.
         StoreUnavailableError, UncertainWriteError
             If the object may still exist.
         """
@@ -156,7 +180,7 @@
                 self._metrics.observe(f"store.{kind}", loop.time() - started)
                 self._metrics.count(f"store.{kind}.{outcome}")
 
-    async def _resolve_uncertain_write(self, obj):
+    async def _resolve_uncertain_write(self, obj, era):
         kind, name = obj.kind, obj.metadata.name
         write_id = obj.metadata.annotations[WRITE_ID_ANNOTATION]
         for attempt in range(RESOLVE_ATTEMPTS):
@@ -175,6 +199,10 @@
                     raise ConflictError(
                         f"{name} was changed by another writer; read it again."
                     )
+                if obj.metadata.resource_version and era != self.era:
+                    raise ConflictError(
+                        f"{name} was lost when the store went back; create it again."
+                    )
             except StoreUnavailableError:
                 continue
             # The old version is still stored. The first write may still arrive, but
--- a/src/ryesaddle/internal/store/informer.py
+++ b/src/ryesaddle/internal/store/informer.py
@@ -41,6 +41,7 @@
         self._rng = rng
         self._backoff = backoff
         self._version = None
+        self._era = 0
         self.synced = asyncio.Event()
 
     async def run(self):
@@ -48,7 +49,9 @@
         attempt = 0
         while True:
             try:
-                if self._version is None:
+                # Revisions are issued again in a new era, so a watch from one of a
+                # former era would miss changes.
+                if self._version is None or self._era != self._client.era:
                     await self._list()
                 await self._watch()
                 attempt = 0
@@ -66,7 +69,7 @@
         items, version = await self._client.list(self._kind)
         for item in items:
             self._on_change(item)
-        self._version = version
+        self._version, self._era = version, self._client.era
         self.synced.set()
 
     async def _watch(self):
--- a/src/ryesaddle/internal/store/kubernetes.py
+++ b/src/ryesaddle/internal/store/kubernetes.py
@@ -10,6 +10,7 @@
     UncertainWriteError,
 )
 from ryesaddle.internal.store.api import Page
+from ryesaddle.internal.store.era import EraTracker
 from ryesaddle.internal.store.object import API_PATH, StoreObject, WatchEvent
 
 CALL_TIMEOUT_S = 3.0
@@ -25,11 +26,17 @@
         Base URL of the object API.
     session : aiohttp.ClientSession
         HTTP session to use; the caller closes it.
+
+    Attributes
+    ----------
+    eras : EraTracker
+        Stays at 0, since this store never loses what it has acknowledged.
     """
 
     def __init__(self, url, session):
         self._url = url.rstrip("/") + API_PATH
         self._session = session
+        self.eras = EraTracker()
 
     async def read(self, kind, name, stale=False):
         """Return the `StoreObject`, or None if it does not exist."""
--- a/src/ryesaddle/platform/objects.py
+++ b/src/ryesaddle/platform/objects.py
@@ -1,5 +1,6 @@
 """The platform's metadata store as an `ObjectApi`."""
 
+import asyncio
 import re
 
 import msgspec
@@ -12,6 +13,7 @@
     UncertainWriteError,
 )
 from ryesaddle.internal.store.api import Page
+from ryesaddle.internal.store.era import EraTracker
 from ryesaddle.internal.store.object import Metadata, StoreObject, WatchEvent
 
 PREFIX = "/ryesaddle/objects"
@@ -21,6 +23,7 @@
 ANNOTATIONS = "annotations"
 UNRESERVED = re.compile(r"[A-Za-z0-9._~-]+")  # RFC 3986, section 2.3
 CONTENT = "content"
+ERA_HEADER = "store-era"
 
 
 class _Meta(msgspec.Struct, frozen=True):
@@ -55,20 +58,29 @@
     The store has no annotations on its objects. Objects written by this class
     keep them in the specification, beside the content proper.
 
+    Revisions are issued again in a new era of the store. The resource version of an
+    object therefore holds its era and its revision, and is valid in its era only.
+
     Parameters
     ----------
     address : callable
         Returns the present `Address` of the store.
+
+    Attributes
+    ----------
+    eras : EraTracker
+        Tracks the era that the store names in its answers.
     """
 
     def __init__(self, address):
         self._address = address
+        self.eras = EraTracker()
 
     async def read(self, kind, name, stale=False):
         """Return the `StoreObject`, or None if it does not exist."""
         query = "?allowStale=1" if stale else ""
         reply = await self._get(f"/{kind}/{_quote(name)}{query}")
-        return None if reply is None else _decode_object(kind, reply.body)
+        return None if reply is None else self._decode(kind, reply.body)
 
     async def read_page(self, kind, after="", stale=False):
         """Return a `Page`; objects that cannot be decoded are skipped."""
@@ -85,7 +97,7 @@
             raise StoreUnavailableError(
                 f"Store sent a malformed list ({exc}); retry."
             ) from exc
-        items = [_decode_or_none(kind, raw) for raw in page.items]
+        items = [self._decode_or_none(kind, raw) for raw in page.items]
         found = tuple(item for item in items if item is not None)
         last = _name_of_last(page.items) if page.more else ""
         return Page(found, str(page.current_rev), last)
@@ -95,18 +107,19 @@
         meta = {"name": obj.metadata.name}
         spec = {ANNOTATIONS: obj.metadata.annotations, CONTENT: obj.spec}
         if obj.metadata.resource_version:
-            meta["revision"] = int(obj.metadata.resource_version)
+            meta["revision"] = self._current_revision(obj.metadata.resource_version)
             path = f"/{obj.kind}/{_quote(obj.metadata.name)}"
             method = "PUT"
         else:
             method, path = "POST", f"/{obj.kind}"
         body = msgspec.json.encode({"meta": meta, "spec": spec})
         reply = await self._send_write(method, path, body)
-        return _decode_object(obj.kind, reply.body)
+        return self._decode(obj.kind, reply.body)
 
     async def delete(self, kind, name, version):
         """Delete a version of an object; do nothing if the object does not exist."""
-        path = f"/{kind}/{_quote(name)}?revision={version}"
+        revision = self._current_revision(version)
+        path = f"/{kind}/{_quote(name)}?revision={revision}"
         await self._send_write("DELETE", path, None, missing_ok=True)
 
     async def watch(self, kind, version):
@@ -134,7 +147,7 @@
                 f"Store sent malformed events ({exc}); retry."
             ) from exc
         for event in events.events:
-            obj = _decode_or_none(kind, event.object)
+            obj = self._decode_or_none(kind, event.object)
             if obj is not None:
                 body = msgspec.to_builtins(obj)
                 yield WatchEvent("DELETED" if event.deleted else "MODIFIED", body)
@@ -151,6 +164,8 @@
             raise StoreUnavailableError(
                 f"Store did not answer ({exc}); retry later."
             ) from exc
+        if not self._observe_era(reply):
+            raise StoreUnavailableError("Answer is of a former era; retry.")
         if reply.status == 404:
             return None
         _raise_for_status(reply)
@@ -169,6 +184,8 @@
             raise StoreUnavailableError(
                 f"Store cannot be reached ({exc}); retry later."
             ) from exc
+        if not self._observe_era(reply):
+            raise UncertainWriteError("Write was answered in a former era.")
         if reply.status == 404:
             if missing_ok:
                 return reply
@@ -176,6 +193,39 @@
         _raise_for_status(reply)
         return reply
 
+    def _observe_era(self, reply):
+        """Record the era of an answer; return whether the answer is valid."""
+        era = _parse_era(reply.headers.get(ERA_HEADER, ""))
+        return self.eras.observe(era, asyncio.get_running_loop().time())
+
+    def _current_revision(self, version):
+        """Return the revision in a resource version of the current era.
+
+        Raises
+        ------
+        ConflictError
+            If the version is of a former era. Its revision may belong to other
+            content now.
+        """
+        era, _, revision = version.partition(".")
+        if int(era) != self.eras.era:
+            raise ConflictError("Object was read in a former era; read it again.")
+        return int(revision)
+
+    def _decode(self, kind, body):
+        # The answer was of the current era, otherwise it would have been rejected.
+        return _decode_object(kind, body, self.eras.era)
+
+    def _decode_or_none(self, kind, raw):
+        try:
+            return self._decode(kind, raw)
+        except StoreUnavailableError:
+            return None
+
+
+def _parse_era(text):
+    return int(text) if text.isascii() and text.isdigit() else 0
+
 
 def _quote(name):
     """Return a name as a path segment."""
@@ -197,7 +247,7 @@
     raise StoreUnavailableError(f"Store answered {reply.status}; retry later.")
 
 
-def _decode_object(kind, body):
+def _decode_object(kind, body, era):
     try:
         decoded = msgspec.json.decode(body, type=_Object)
     except msgspec.DecodeError as exc:
@@ -211,15 +261,8 @@
         spec = spec[CONTENT]
     if not isinstance(spec, dict):
         spec = {}
-    metadata = Metadata(decoded.meta.name, str(decoded.meta.revision), annotations)
-    return StoreObject(kind, metadata, spec)
-
-
-def _decode_or_none(kind, raw):
-    try:
-        return _decode_object(kind, raw)
-    except StoreUnavailableError:
-        return None
+    version = f"{era}.{decoded.meta.revision}"
+    return StoreObject(kind, Metadata(decoded.meta.name, version, annotations), spec)
 
 
 def _name_of_last(items):
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -1,15 +1,21 @@
 import asyncio
 import random
+import re
 import signal
 import unittest
 
 from ryesaddle.cli.passthrough_operator import PassthroughOperator
 from ryesaddle.cli.report import flow_lines
+from ryesaddle.daemons.passthrough.entry import list_entries
+from ryesaddle.daemons.passthrough.peers import BalancerEntry
+from ryesaddle.daemons.passthrough.process import BALANCER_KIND, TARGET_KIND
 from ryesaddle.internal.store.client import StoreClient
+from ryesaddle.internal.store.era import ERA_SETTLE_S
 from ryesaddle.platform.objects import PlatformObjects
 from tests.support.packets import ACK, SYN
 from tests.support.platform_deployment import (
     SERVICE_ADDRESSES,
+    WAIT_TIMEOUT_S,
     PlatformDeployment,
     configuration,
 )
@@ -222,6 +228,91 @@
         for _ in range(4):
             await deployment.open_flow(deployment.balancer_hosts[0])
 
+    async def test_processes_register_again_when_the_store_goes_back(self):
+        deployment = self.deployment
+        newer = configuration(5)
+        await deployment.store_call("PUT", "/put/config/main", newer)
+        for host in deployment.balancer_hosts:
+            await deployment.wait_until(
+                lambda host=host: self.has_configuration(host, 5)
+            )
+        client = StoreClient(
+            PlatformObjects(lambda: deployment.store), random.Random(1)
+        )
+        await deployment.set_back_store(WAIT_TIMEOUT_S)
+        for kind in (BALANCER_KIND, TARGET_KIND):
+            await deployment.wait_until(lambda kind=kind: self.holds_two(client, kind))
+        for host in deployment.balancer_hosts:
+            await deployment.wait_until(lambda host=host: self.is_complete(host, 2))
+            self.assertTrue(await self.has_configuration(host, 5))
+            delay_s = await self.completion_s(host, "store-era")
+            # Clock readings of the log are rounded to milliseconds.
+            self.assertGreaterEqual(delay_s, ERA_SETTLE_S - 0.01)
+        # The store tells a restarted balancer that others have seen the era for long.
+        await deployment.wait_until(lambda: self.is_settled(client, 2))
+        for host in deployment.balancer_hosts:
+            deployment.kill(host)
+        for host in deployment.balancer_hosts:
+            logged = len(deployment.log(host))
+            deployment.start_process(host)
+            delay_s = await self.completion_s(host, "started", logged)
+            self.assertLess(delay_s, ERA_SETTLE_S)
+
+    async def test_a_balancer_that_starts_after_the_store_went_back_resets_no_flow(
+        self,
+    ):
+        # Its first list lacks the agent that holds the flow, since the store has lost
+        # the entry and the agent does not run for a second.
+        deployment = self.deployment
+        host, port = deployment.balancer_hosts[0], None
+        while port is None or deployment.targets[0].flows == set():
+            port = await deployment.open_flow(host)
+        for balancer_host in deployment.balancer_hosts:
+            deployment.kill(balancer_host)
+        deployment.kill(deployment.agent_hosts[0], signal.SIGSTOP)
+        await deployment.set_back_store(WAIT_TIMEOUT_S)
+        await deployment.store_call("PUT", "/put/config/main", configuration())
+        deployment.start_process(host)
+        await deployment.wait_until(lambda: self.has_configuration(host, 1))
+        to = deployment.at(host, "callers")
+        for _ in range(10):
+            deployment.caller.send(
+                to, port, ACK, SERVICE_ADDRESSES["case-desk"], b"x", 9, 901
+            )
+            await asyncio.sleep(0.1)
+        self.assertFalse(deployment.caller.is_reset(port))
+        self.assertFalse(await self.is_complete(host, 2))
+        deployment.kill(deployment.agent_hosts[0], signal.SIGCONT)
+        await deployment.request(host, port, b"later")
+        self.assertFalse(deployment.caller.is_reset(port))
+
+    async def holds_two(self, client, kind):
+        items, _ = await client.list(kind)
+        return len(items) == 2
+
+    async def is_settled(self, client, era):
+        found = await list_entries(client, BALANCER_KIND, BalancerEntry)
+        return all(entry.settled_era == era for entry in found.values())
+
+    async def completion_s(self, host, cause, logged=0):
+        """Return the time from an event until the balancer knew all agents.
+
+        The first ``logged`` characters of the log are skipped.
+        """
+        pattern = re.compile(rf"at=(\S+) .*event=({cause}|agents-complete)")
+
+        def logged_events():
+            found = pattern.findall(self.deployment.log(host)[logged:])[-2:]
+            return found if [n for _, n in found] == [cause, "agents-complete"] else ()
+
+        await self.deployment.wait_until(logged_events)
+        (started, _), (completed, _) = logged_events()
+        return float(completed) - float(started)
+
+    async def is_complete(self, host, era):
+        found = await self.deployment.status(host)
+        return found is not None and found["complete"] and found["store_era"] == era
+
     async def test_entries_are_back_after_an_outage_that_lost_them(self):
         deployment = self.deployment
         await deployment.store_call("PUT", "/faults", {"down": True})
--- a/tests/store/test_client.py
+++ b/tests/store/test_client.py
@@ -62,6 +62,14 @@
         self.assertEqual(second.spec, {"n": 2})
         self.assertEqual(self.api.version, 2)
 
+    async def test_this_store_has_no_eras(self):
+        # Its versions have no era, so a version must never count as outdated.
+        first = await self.client.write(KIND, "a", {"n": 1}, "")
+        self.assertEqual(first.metadata.resource_version, "1")
+        await self.client.list(KIND)
+        self.assertEqual(self.client.era, 0)
+        self.assertEqual(self.client.eras.settle_delay_s(0.0), 0.0)
+
     async def test_a_write_during_an_outage_is_not_reported_as_done(self):
         await self.inject_faults(down=True)
         with self.assertRaises((UncertainWriteError, StoreUnavailableError)):
--- a/tests/support/platform_deployment.py
+++ b/tests/support/platform_deployment.py
@@ -354,6 +354,10 @@
         """Call a control route of the fake store; faults do not affect these."""
         await send_request(self.store, method, path, json.dumps(value).encode())
 
+    async def set_back_store(self, seconds):
+        """Return the store to its state some seconds ago, in a new era."""
+        await self.store_call("POST", "/back", seconds)
+
     async def open_flow(self, host, service="case-desk"):
         """Open a flow through a balancer and return the caller's port."""
         port = self.caller.new_port()
--- a/tests/support/platform_store.py
+++ b/tests/support/platform_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import sys
+import time
 from collections import Counter
 
 from aiohttp import web
@@ -22,17 +23,22 @@
 
     ``PUT /put/{kind}/{name}`` writes an object without faults, and ``POST /forget``
     drops the event history, so that watches from an older revision get a 410.
+    ``POST /back`` with a number of seconds returns to the state of that time ago and
+    begins a new era: later writes are lost, and their revisions are issued again.
     """
 
     def __init__(self):
         self.objects = {}
         self.revision = 100
+        self.era = 1
+        self.undo_log = []
         self.history = []
         self.compacted_revision = 0
         self.faults = {}
         self.calls = Counter()
         self._changed = asyncio.Condition()
         self.app = web.Application()
+        self.app.on_response_prepare.append(self._add_era)
         path = "/ryesaddle/objects"
         self.app.router.add_get(path + "/{kind}", self._list)
         self.app.router.add_post(path + "/{kind}", self._create)
@@ -42,9 +48,32 @@
         self.app.router.add_put("/faults", self._set_faults)
         self.app.router.add_put("/put/{kind}/{name}", self._handle_put)
         self.app.router.add_post("/forget", self._compact)
+        self.app.router.add_post("/back", self._handle_back)
+
+    def go_back(self, seconds):
+        """Return to the state ``seconds`` ago, and begin a new era."""
+        until = time.monotonic() - seconds
+        while self.undo_log and self.undo_log[-1][0] > until:
+            _, key, former, self.revision = self.undo_log.pop()
+            if former is None:
+                self.objects.pop(key, None)
+            else:
+                self.objects[key] = former
+        self.history = [item for item in self.history if item[0] <= self.revision]
+        self.compacted_revision = min(self.compacted_revision, self.revision)
+        self.era += 1
+
+    def _record_undo(self, kind, name):
+        key = kind, name
+        item = (time.monotonic(), key, self.objects.get(key), self.revision)
+        self.undo_log.append(item)
+
+    async def _add_era(self, req, response):
+        response.headers["Store-Era"] = str(self.era)
 
     def put(self, kind, name, spec):
         """Write the specification of an object without a revision check."""
+        self._record_undo(kind, name)
         self.revision += 1
         created = self.objects.get((kind, name), {}).get("meta", {}).get("created")
         obj = {
@@ -80,6 +109,11 @@
         self.history, self.compacted_revision = [], self.revision
         return web.json_response({})
 
+    async def _handle_back(self, req):
+        self.go_back(await req.json())
+        await self._notify()
+        return web.json_response({})
+
     async def _notify(self):
         async with self._changed:
             self._changed.notify_all()
@@ -120,7 +154,7 @@
         since = int(req.query["watch"])
         deadline = asyncio.get_running_loop().time() + int(req.query["waitMs"]) / 1000
         while True:
-            if since < self.compacted_revision:
+            if not self.compacted_revision <= since <= self.revision:
                 raise web.HTTPGone()
             events = [e for rev, k, e in self.history if rev > since and k == kind]
             remaining_s = deadline - asyncio.get_running_loop().time()
@@ -178,6 +212,7 @@
             and int(expected_revision) != stored["meta"]["revision"]
         ):
             return 409, stored
+        self._record_undo(kind, name)
         self.revision += 1
         del self.objects[kind, name]
         self._record_event(kind, stored, True)
