--- a/soak/injector.py
+++ b/soak/injector.py
@@ -18,6 +18,8 @@
 STOP_TIMEOUT_S = 6.0  # `graceS` in production
 UNANSWERED_WRITES = 3  # writes per fault that the store does not answer
 DROPPED_SERVICE = "pack-archive"
+# The store loses this many seconds per unit of the amount, which is at most 0.3.
+LOST_S_PER_AMOUNT = 10.0
 
 
 class Injector:
@@ -33,6 +35,7 @@
         self._deployment = deployment
         self._network = deployment.network
         self._version = 1
+        self._configuration = configuration()
         self._active_store_faults = []
         self._pause_counts = {}
         self._restarting = set()
@@ -171,12 +174,34 @@
         if item.kind == "forget-history":
             await self._deployment.store_call("POST", "/forget", {})
             return
+        if item.kind == "go-back":
+            await self._set_back_store(item)
+            return
         self._active_store_faults.append(item.kind)
         await self._send_store_faults()
         await asyncio.sleep(item.for_s)
         self._active_store_faults.remove(item.kind)
         await self._send_store_faults()
 
+    async def _set_back_store(self, item):
+        """Make the store unavailable, then let it return from a copy some seconds old.
+
+        The operator writes the configuration again if it was lost.
+        """
+        self._active_store_faults.append("down")
+        await self._send_store_faults()
+        await asyncio.sleep(item.for_s)
+        async with self._configuration_lock:
+            lost_s = LOST_S_PER_AMOUNT * item.amount
+            await self._deployment.set_back_store(lost_s)
+            self._active_store_faults.remove("down")
+            await self._send_store_faults()
+            await self._put_configuration()
+
+    async def _put_configuration(self):
+        path = "/put/config/main"
+        await self._deployment.store_call("PUT", path, self._configuration)
+
     async def _send_store_faults(self):
         faults = {}
         for kind in self._active_store_faults:
@@ -199,8 +224,8 @@
         """Write the next configuration version, with routes for these services."""
         self._version += 1
         self._deployment.checker.configuration_written(self._version, services)
-        body = configuration(self._version, sorted(services))
-        await self._deployment.store_call("PUT", "/put/config/main", body)
+        self._configuration = configuration(self._version, sorted(services))
+        await self._put_configuration()
 
     # Targets
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -21,6 +21,7 @@
     "lose-answers",
     "late",
     "forget-history",
+    "go-back",
 )
 STORE_LINK_FAULTS = ("store-cut", "store-silent", "store-delay")
 TARGET_FAULTS = (
@@ -53,7 +54,8 @@
     hosts : tuple of str
         The affected hosts; for a link its sender and its receiver.
     amount : float
-        For ``delay`` kinds the delay in seconds, for ``lose`` the share of packets.
+        For ``delay`` kinds the delay in seconds, for ``lose`` the share of packets,
+        for ``go-back`` a tenth of the time that the store loses, in seconds.
     """
 
     at_s: float
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,6 +6,12 @@
 
 import msgspec
 
+from ryesaddle.daemons.passthrough.entry import list_entries
+from ryesaddle.daemons.passthrough.peers import BalancerEntry
+from ryesaddle.daemons.passthrough.process import BALANCER_KIND, TARGET_KIND
+from ryesaddle.internal.membership.directory import TargetEntry
+from ryesaddle.internal.store.client import StoreClient
+from ryesaddle.platform.objects import PlatformObjects
 from soak.deployment import SoakDeployment
 from soak.injector import Injector
 from soak.invariants import Violation
@@ -151,7 +157,7 @@
         checks += [
             self._check_long_lived_flow(*flow) for flow in self._long_lived_flows
         ]
-        await asyncio.gather(*checks, self._check_agents_open())
+        await asyncio.gather(*checks, self._check_agents_open(), self._check_entries())
 
     async def _check_new_flow(self, number):
         """Check that a new flow is eventually served."""
@@ -192,6 +198,22 @@
                 "recovery", f"not all balancers see all agents as open: {statuses}"
             )
 
+    async def _check_entries(self):
+        """Check that the store holds the entry of every process."""
+        deployment = self._deployment
+        client = StoreClient(PlatformObjects(lambda: deployment.store), self._rng)
+        expected = {*deployment.balancer_hosts, *deployment.agent_hosts}
+
+        async def are_stored():
+            balancers = await list_entries(client, BALANCER_KIND, BalancerEntry)
+            targets = await list_entries(client, TARGET_KIND, TargetEntry)
+            return expected <= {*balancers, *targets}
+
+        try:
+            await deployment.wait_until(are_stored)
+        except TimeoutError:
+            self._record_violation("recovery", "the store lacks entries of processes")
+
     def _check_processes(self):
         for name, process in self._deployment.processes.items():
             if process.poll() is not None:
