--- a/tests/bench/test_benchmarks.py
+++ b/tests/bench/test_benchmarks.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from bench import datapath, experiment, passthrough
+from bench.request_order import POLICIES, simulate_order
 
 
 class DatapathTest(unittest.TestCase):
@@ -49,3 +50,13 @@
         # 12 s of 0.3 x 20 requests of 31.5 ms at a time
         self.assertAlmostEqual(row["asked"] / (12 * 0.3 * 20 / 0.0315), 1, delta=0.1)
         self.assertGreater(row["in_time"], 0.99)
+
+
+class RequestOrderTest(unittest.TestCase):
+    def test_held_requests_lower_the_payoff_of_an_overloaded_target(self):
+        # docs/design/request-order.md rests on this: if it fails, decide anew.
+        payoffs = {
+            name: simulate_order(policy, 1.3, 1.0, range(4))[0]
+            for name, policy in POLICIES.items()
+        }
+        self.assertEqual(max(payoffs, key=payoffs.get), "not held")
