--- a/tests/platform/test_store_rollback.py
+++ b/tests/platform/test_store_rollback.py
@@ -5,8 +5,9 @@
 from collections import Counter
 from unittest import mock
 
-from ryesaddle.daemons.passthrough import entry as entry_module
+from ryesaddle.daemons.passthrough import entry as entry_module, entry_cleaner
 from ryesaddle.daemons.passthrough.entry import EntryReconciler, list_entries
+from ryesaddle.daemons.passthrough.entry_cleaner import EntryCleaner
 from ryesaddle.daemons.passthrough.http import HttpReply, HttpServer
 from ryesaddle.daemons.passthrough.process import bind_tcp
 from ryesaddle.errors import (
@@ -254,3 +255,21 @@
                 await self.in_sync(reconciler)
         self.assertEqual(len(times), PROCESSES)
         return max(sum(t <= u < t + 0.2 for u in times) for t in times) / PROCESSES
+
+
+class EntryCleanerTest(StoreTestCase):
+    async def test_no_entry_counts_as_missing_until_the_store_is_settled(self):
+        # All agents would be asked at once to write entries that they write anyway.
+        peers, agents = mock.Mock(), mock.Mock()
+        peers.live_names.return_value = []
+        agents.live_names.return_value = {"side-1"}
+        cleaner = EntryCleaner("edge-1", self.client, peers, agents)
+        await self.client.list(KIND)
+        with mock.patch.object(entry_cleaner, "CLEANUP_INTERVAL_S", 0.01):
+            task = asyncio.ensure_future(cleaner.run())
+            self.addCleanup(task.cancel)
+            await asyncio.sleep(0.2)
+            agents.request_registration.assert_not_called()
+            self.client.eras.mark_settled(self.store.era)
+            await self.wait_until(lambda: agents.request_registration.called)
+        agents.request_registration.assert_called_with({"side-1"})
