--- a/src/ryesaddle/daemons/passthrough/peers.py
+++ b/src/ryesaddle/daemons/passthrough/peers.py
@@ -13,6 +13,7 @@
 from ryesaddle.internal.membership.fetch_schedule import FetchSchedule
 from ryesaddle.internal.membership.isolation import is_isolated
 from ryesaddle.internal.routing.route import RouteTable
+from ryesaddle.internal.store.era import EraTracker
 from ryesaddle.internal.wire.passthrough import Gossip
 
 log = logging.getLogger(__name__)
@@ -24,7 +25,7 @@
 STATE_PATH = "/state"
 
 
-class BalancerEntry(msgspec.Struct, frozen=True, kw_only=True):
+class BalancerEntry(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Entry of a balancer in the store.
 
     Attributes
@@ -33,12 +34,16 @@
         Name and data centre of the balancer.
     address, control : Address
         Where it receives messages, and HTTP calls.
+    settled_era : int
+        Latest era of the store that it had seen for `ERA_SETTLE_S`. A balancer that
+        finds its present era here need not wait until the store is settled.
     """
 
     node: str
     data_centre: str
     address: Address
     control: Address
+    settled_era: int = 0
 
 
 class SharedState(msgspec.Struct, frozen=True):
@@ -67,6 +72,8 @@
         Tracks the agents.
     evacuations : EvacuationMonitor
         Holds the evacuated data centres.
+    eras : EraTracker, optional
+        Tracks the eras of the store.
 
     Attributes
     ----------
@@ -77,7 +84,14 @@
     """
 
     def __init__(
-        self, entry, incarnation, messages, route_updater, agent_monitor, evacuations
+        self,
+        entry,
+        incarnation,
+        messages,
+        route_updater,
+        agent_monitor,
+        evacuations,
+        eras=None,
     ):
         self.entry = entry
         self._incarnation = incarnation
@@ -85,6 +99,7 @@
         self._route_updater = route_updater
         self._agent_monitor = agent_monitor
         self._evacuations = evacuations
+        self._eras = eras or EraTracker()
         self._peers = {}
         self._last_heard = {}
         self._live_agent_counts = {}
@@ -125,6 +140,7 @@
             live_agent_count=len(self._agent_monitor.live_names()),
             leaving=self.leaving,
             evacuation=self._evacuations.state,
+            store_era=self._eras.era,
         )
         self._messages.send_all(self._peers, msg)
 
@@ -217,6 +233,7 @@
         self._live_agent_counts[msg.address] = msg.live_agent_count
         self._evacuations.merge(msg.evacuation, f"balancer {msg.node}")
         self._route_updater.record_peer_read(msg.node, msg.read_age_ms / 1000, now)
+        self._eras.learn(msg.store_era, now)
         if self._should_fetch(msg, now):
             task = asyncio.get_running_loop().create_task(self._fetch_from_peer(msg))
             self._tasks.add(task)
--- a/src/ryesaddle/daemons/passthrough/reporter.py
+++ b/src/ryesaddle/daemons/passthrough/reporter.py
@@ -11,6 +11,7 @@
     REPORT_INTERVAL_S,
     ReportSchedule,
 )
+from ryesaddle.internal.store.era import EraTracker
 from ryesaddle.internal.wire.passthrough import (
     AgentReport,
     AgentReportAck,
@@ -37,6 +38,8 @@
         Provide the state that is reported.
     messages : MessageSocket
         Exchanges messages with balancers.
+    eras : EraTracker, optional
+        Tracks the eras of the store.
 
     Attributes
     ----------
@@ -44,12 +47,15 @@
         Called when the agent's data centre has been evacuated.
     """
 
-    def __init__(self, settings, incarnation, target_state, router, messages):
+    def __init__(
+        self, settings, incarnation, target_state, router, messages, eras=None
+    ):
         self._settings = settings
         self._incarnation = incarnation
         self._target_state = target_state
         self._router = router
         self._messages = messages
+        self._eras = eras or EraTracker()
         self._readiness_gate = ReadinessGate(self._now())
         self._schedule = ReportSchedule()
         self._evacuations = Evacuations()
@@ -185,6 +191,7 @@
         self._schedule.record_contact(addr, self._now())
         self._schedule.set_interval(addr, ack.interval_s)
         self._merge_evacuation(ack.evacuation, addr)
+        self._eras.learn(ack.store_era, self._now())
         if ack.incarnation == self._incarnation:
             # Before this balancer counts as asked.
             self._on_previous_target(ack.target, ack.draining, f"balancer {ack.node}")
--- a/src/ryesaddle/internal/config/evacuation.py
+++ b/src/ryesaddle/internal/config/evacuation.py
@@ -2,9 +2,7 @@
 
 import msgspec
 
-# After the store has lost its latest changes, the operator's changes are written again
-# within this time. Until then a reading may be older or newer than what was in force.
-ERA_SETTLE_S = 2.0
+from ryesaddle.internal.store.era import ERA_SETTLE_S
 
 
 class EvacuationState(msgspec.Struct, frozen=True, array_like=True):
--- a/src/ryesaddle/platform/role.py
+++ b/src/ryesaddle/platform/role.py
@@ -82,7 +82,7 @@
 
 async def _read_evacuations(store):
     objects, version = await store.list(EVACUATION_KIND, attempts=1)
-    return read_evacuations(objects, version)
+    return read_evacuations(objects, version, store.era)
 
 
 def _handle_target_request(heartbeats, req):
