Limit the new flows of targets that warm up

Cause: a target that has become cold was given as many new flows as its slots allow, at once after an evacuation was lifted, so that requests were late and the limit of the platform for such targets was exceeded. Change: WarmUpBudget counts the opening packets of the last second; beyond services[].warmupPerS the agent counts its target as full: it offers new flows to other candidates and queues them only if none can take them. An agent that has just started counts its budget as used for one second, unless it knows all flows of its target. After an evacuation the target is presumed to warm up for 2 s.

--- a/src/ryesaddle/daemons/passthrough/agent_monitor.py
+++ b/src/ryesaddle/daemons/passthrough/agent_monitor.py
@@ -130,7 +130,7 @@
                 draining,
                 report_interval_s(len(self._directory)),
                 evacuation=self._evacuations.state,
-                warm_up_per_s=routes.warm_up_rate(report.service) if routes else 0.0,
+                warm_up_per_s=routes.warm_up_rate(report.service) if routes else -1.0,
             )
             self._messages.send(report.address, ack)
         self._liveness.heard(report.node)
--- a/src/ryesaddle/daemons/passthrough/reporter.py
+++ b/src/ryesaddle/daemons/passthrough/reporter.py
@@ -152,6 +152,7 @@
         self._schedule.record_contact(addr, self._now())
         self._schedule.set_interval(addr, ack.interval_s)
         self._merge_evacuation(ack.evacuation, addr)
+        self._router.set_warm_up_limit(addr, ack.warm_up_per_s, self._now())
         if ack.incarnation == self._incarnation:
             self._readiness_gate.confirmed(addr)
             if not self._router.known_to_balancers:
--- a/src/ryesaddle/daemons/passthrough/run_agent.py
+++ b/src/ryesaddle/daemons/passthrough/run_agent.py
@@ -43,6 +43,7 @@
 from ryesaddle.internal.target.queue import FlowQueue
 from ryesaddle.internal.target.router import AgentRouter
 from ryesaddle.internal.target.state import TargetState
+from ryesaddle.internal.target.warm_up import WarmUpBudget
 from ryesaddle.internal.wire.passthrough import Candidate
 
 log = logging.getLogger(__name__)
@@ -87,7 +88,14 @@
     flows = TargetFlows(loop.time(), settings.flow_max_s)
     own_candidate = Candidate(settings.node, settings.peer)
     queue = FlowQueue()
-    router = AgentRouter(own_candidate, settings.service, target_state, flows, queue)
+    router = AgentRouter(
+        own_candidate,
+        settings.service,
+        target_state,
+        flows,
+        queue,
+        WarmUpBudget(loop.time()),
+    )
     router.known_to_balancers = False
     messages = MessageSocket(bound_socket, metrics)
     target_socket = PacketSocket(lambda data, addr: agent.on_target_packet(data, addr))
@@ -121,6 +129,7 @@
             "flows": len(flows),
             "load": round(router.load(loop.time()), 2),
             "waiting": len(queue),
+            "evacuated": router.evacuated,
             "service_s": round(flows.service_s, 4),
             "store_calls": store.calls,
         }
--- a/src/ryesaddle/internal/target/router.py
+++ b/src/ryesaddle/internal/target/router.py
@@ -93,6 +93,8 @@
         The flows at the target.
     queue : FlowQueue
         The new flows that wait for the target.
+    warm_up : WarmUpBudget, optional
+        Limits new flows while the target warms up.
 
     Attributes
     ----------
@@ -104,12 +106,13 @@
         Whether the data centre of this agent is evacuated.
     """
 
-    def __init__(self, this_agent, service, target_state, flows, queue):
+    def __init__(self, this_agent, service, target_state, flows, queue, warm_up=None):
         self._this_agent = this_agent
         self._service = service
         self._target_state = target_state
         self._flows = flows
         self._queue = queue
+        self._warm_up = warm_up
         self._refused_until = 0.0
         self.draining = False
         self.known_to_balancers = True
@@ -117,8 +120,15 @@
 
     def set_evacuated(self, evacuated, now):
         """Record whether the data centre of this agent is evacuated."""
+        if self.evacuated and not evacuated and self._warm_up is not None:
+            self._warm_up.presume_warming_up(now)
         self.evacuated = evacuated
 
+    def set_warm_up_limit(self, balancer, per_s, now):
+        """Set the limit for a target that warms up, as a balancer has told it."""
+        if self._warm_up is not None:
+            self._warm_up.set_limit(balancer, per_s, now)
+
     def is_open(self, now):
         """Whether this agent accepts new flows."""
         if self.draining or self.evacuated or not self.known_to_balancers:
@@ -134,10 +144,14 @@
         return self._flows.unanswered_s(now) > UNRESPONSIVE_AFTER_S
 
     def load(self, now):
-        """Return the number of requests at the target or queued, per slot."""
-        return (
-            self._flows.in_flight(now) + len(self._queue)
-        ) / self._target_state.slots
+        """Return the number of requests at the target or queued, per slot.
+
+        A target that must get no further flow while it warms up counts as full.
+        """
+        in_flight = self._flows.in_flight(now)
+        if self._is_warm_up_limited(now):
+            in_flight = max(in_flight, self._target_state.slots + OVERCOMMIT_FLOWS)
+        return (in_flight + len(self._queue)) / self._target_state.slots
 
     def has_capacity(self, now):
         """Whether one more flow may be sent to the target.
@@ -145,6 +159,8 @@
         The request of a new flow arrives one round trip after its opening packet. To
         keep all slots busy, a few more flows than slots are sent.
         """
+        if self._is_warm_up_limited(now):
+            return False
         return self._flows.in_flight(now) < self._target_state.slots + OVERCOMMIT_FLOWS
 
     def decide(self, forwarded, packet, now):
@@ -159,6 +175,12 @@
         now : float
             Seconds on a monotonic clock.
         """
+        decision = self._decide(forwarded, packet, now)
+        if packet.opens and isinstance(decision, Deliver):
+            self._record_opening(now)
+        return decision
+
+    def _decide(self, forwarded, packet, now):
         if forwarded.service != self._service:
             return self._return_to_balancer(forwarded, "other-service")
         if packet.flow in self._flows:
@@ -208,7 +230,23 @@
         """Return the next queued flow for the target and its `QueuedFlow`, or None."""
         if not self.is_open(now) or not self.has_capacity(now):
             return None
-        return self._queue.pop_next(self._flows.service_s, now)
+        found = self._queue.pop_next(self._flows.service_s, now)
+        if found is not None:
+            self._record_opening(now)
+        return found
+
+    def _record_opening(self, now):
+        if self._warm_up is not None:
+            self._warm_up.record_opening(now)
+
+    def _is_warm_up_limited(self, now):
+        if self._warm_up is None:
+            return False
+        report, warm_up_until = self._target_state.last_report, None
+        if report is not None:
+            warm_up_until = self._target_state.last_heartbeat_at + report.warm_up_s
+        knows_all_flows = self._flows.is_complete(now)
+        return self._warm_up.is_used_up(warm_up_until, knows_all_flows, now)
 
     def _decide_unknown_flow(self, forwarded, now):
         if self.is_absent(forwarded.service, now):
--- a/src/ryesaddle/internal/wire/passthrough.py
+++ b/src/ryesaddle/internal/wire/passthrough.py
@@ -175,7 +175,8 @@
     evacuation : EvacuationState or None
         The evacuated data centres, if the balancer knows them.
     warm_up_per_s : float
-        Requests per second that the target bears while it warms up; 0 if unlimited.
+        Requests per second that the target bears while it warms up; 0 if unlimited,
+        negative if the balancer has no configuration yet.
     """
 
     node: str
--- a/tests/routing/test_evacuation.py
+++ b/tests/routing/test_evacuation.py
@@ -3,6 +3,8 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.config.evacuation import EvacuationState
 from ryesaddle.internal.routing.packet import Flow, Packet
@@ -245,3 +247,47 @@
         self.read(EVACUATED)
         opened, resets = self.open_flows(5)
         self.assertEqual((sum(opened.values()), resets), (0, 0))
+
+
+class WarmUpTest(EvacuationCase):
+    LIMIT = 4
+
+    def setUp(self):
+        super().setUp()
+        for balancer in self.world.balancers.values():
+            updater = balancer._route_updater
+            updater.routes = msgspec.structs.replace(
+                updater.routes, warm_up_per_s=((SERVICE, float(self.LIMIT)),)
+            )
+        # The next acknowledgement carries the limit.
+        self.world.pass_time(1.1)
+        for number in self.data_centres:
+            self.world.report(number)
+
+    def test_a_cold_data_centre_gets_no_more_than_the_limit(self):
+        self.read(EVACUATED)
+        for number in (1, 2):
+            self.world.agents[number][1].warm_up_s = 60.0
+        self.read(LIFTED)
+        # The heartbeats that say so come later than the first new flows.
+        opened, _ = self.open_flows(10)
+        for number in (1, 2):
+            self.world.heartbeat(number)
+        more, _ = self.open_flows(9)
+        total = {n: opened[n] + more[n] for n in opened}
+        self.assertEqual((total[1], total[2]), (self.LIMIT, self.LIMIT))
+        self.assertEqual(sum(total.values()), 19)
+
+    def test_a_restart_of_the_agent_gives_no_second_budget(self):
+        for number in (1, 2):
+            self.world.agents[number][1].warm_up_s = 60.0
+            self.world.heartbeat(number)
+        opened, _ = self.open_flows(10)
+        self.assertEqual(opened[1], self.LIMIT)
+        self.world.start_agent(1, SERVICE, self.world.agents[1][1])
+        more, _ = self.open_flows(9)
+        self.assertEqual(more[1], 0)
+        self.world.heartbeat(1)
+        self.world.pass_time(0.6)
+        self.world.report(1)
+        self.assertGreater(self.open_flows(10)[0][1], 0)
--- a/tests/support/passthrough.py
+++ b/tests/support/passthrough.py
@@ -23,6 +23,7 @@
 from ryesaddle.internal.target.report import TargetReport
 from ryesaddle.internal.target.router import AgentRouter
 from ryesaddle.internal.target.state import TargetState
+from ryesaddle.internal.target.warm_up import WarmUpBudget
 from ryesaddle.internal.wire.passthrough import (
     Candidate,
     decode_message,
@@ -120,12 +121,18 @@
         self.flows = set()
         self.sequence = 0
         self.draining = False
+        self.warm_up_s = 0.0
         self.accepted_while_draining = []
 
     def report(self):
         self.sequence += 1
         return TargetReport(
-            self.name, self.service, self.sequence, draining=self.draining, slots=2
+            self.name,
+            self.service,
+            self.sequence,
+            draining=self.draining,
+            slots=2,
+            warm_up_s=self.warm_up_s,
         )
 
 
@@ -253,7 +260,8 @@
             FlowQueue(),
         )
         me = Candidate(node, address)
-        router = AgentRouter(me, service, target_state, flows, queue)
+        warm_up = WarmUpBudget(self.now)
+        router = AgentRouter(me, service, target_state, flows, queue, warm_up)
         router.known_to_balancers = False
         messages = FakeMessages(self, address)
         for cls in (PassthroughAgent, Reporter, HeartbeatHandler):
