Place flows by the time that they would wait for a warm-up budget

Cause: a cold target counted as merely full, so that flows of a burst stayed in its queue until their callers gave up, while warm targets had capacity again. Change: the load of a limited target contains the expected wait. A test on real processes covers the limit over a restart of the agent.

--- a/src/ryesaddle/internal/target/router.py
+++ b/src/ryesaddle/internal/target/router.py
@@ -146,12 +146,16 @@
     def load(self, now):
         """Return the number of requests at the target or queued, per slot.
 
-        A target that must get no further flow while it warms up counts as full.
+        A target that must get no further flow while it warms up counts as full. The
+        time that a flow would wait there is counted as the requests that a slot runs
+        in that time.
         """
-        in_flight = self._flows.in_flight(now)
+        in_flight, slots = self._flows.in_flight(now), self._target_state.slots
         if self._is_warm_up_limited(now):
-            in_flight = max(in_flight, self._target_state.slots + OVERCOMMIT_FLOWS)
-        return (in_flight + len(self._queue)) / self._target_state.slots
+            wait_s = self._warm_up.expected_wait_s(len(self._queue))
+            full = max(in_flight, slots + OVERCOMMIT_FLOWS)
+            return full / slots + wait_s / self._flows.service_s
+        return (in_flight + len(self._queue)) / slots
 
     def has_capacity(self, now):
         """Whether one more flow may be sent to the target.
--- a/src/ryesaddle/internal/target/warm_up.py
+++ b/src/ryesaddle/internal/target/warm_up.py
@@ -100,6 +100,10 @@
         self._remove_old(now)
         return len(self._sent) >= max(1.0, limit)
 
+    def expected_wait_s(self, queued):
+        """Return how long a flow waits behind ``queued`` others, in seconds."""
+        return (queued + 1) / max(1.0, self._limit() or 0.0)
+
     def _limit(self):
         """Return the limit per second; 0 if there is none, None if not known yet."""
         if not self._limits:
--- a/tests/patterns/test_warm_up.py
+++ b/tests/patterns/test_warm_up.py
@@ -2,11 +2,12 @@
 
 import random
 import unittest
+from unittest import mock
 
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.routing.packet import Flow, Packet
 from ryesaddle.internal.target.flows import TargetFlows
-from ryesaddle.internal.target.queue import FlowQueue
+from ryesaddle.internal.target.queue import CALLER_GIVE_UP_S, FlowQueue
 from ryesaddle.internal.target.report import TargetReport
 from ryesaddle.internal.target.router import AgentRouter, Deliver, Enqueue, OfferTo
 from ryesaddle.internal.target.state import TargetState
@@ -26,7 +27,9 @@
 class Replay:
     """Agents and targets; callers open flows and send one request on each."""
 
-    def __init__(self, limited):
+    def __init__(self, limited, burst=0):
+        self.burst = burst
+        self.waited = []
         self.rng = random.Random(1)
         self.now, self.in_time = 0.0, 0
         self.opened_at = {}
@@ -60,7 +63,7 @@
         """Run for `DURATION_S`, and return this object."""
         number = 0
         while self.now < DURATION_S:
-            while number < FLOWS_PER_S * self.now:
+            while number < self.burst + FLOWS_PER_S * self.now:
                 self.open(Flow(Address("100.64.0.7", number), Address("198.18.0.1", 1)))
                 number += 1
             self.advance()
@@ -77,7 +80,12 @@
         order = [*self.rng.sample(local, 2), self.rng.choice(remote)]
         order.sort(key=lambda node: self.routers[node.address.port].load(self.now))
         forwarded = ForwardedPacket(
-            "s", order[0].address, b"", candidates=tuple(order[1:]), timeout_ms=3_000
+            "s",
+            order[0].address,
+            b"",
+            candidates=tuple(order[1:]),
+            objective_ms=300,
+            timeout_ms=3_000,
         )
         target, packet = self.nodes.index(order[0]), Packet(flow, opens=True)
         while True:
@@ -92,6 +100,7 @@
     def deliver(self, target, flow):
         """Send the opening packet and the request; both take no time."""
         request = Packet(flow, has_data=True, sequence_number=1)
+        self.waited.append(self.now - self.opened_at[flow])
         self.openings[target].append(self.now)
         self.flows[target].record_opening(flow, self.now)
         self.flows[target].record_caller_packet(request, b"", self.now)
@@ -110,6 +119,11 @@
             while (found := router.pop_next(self.now)) is not None:
                 self.deliver(target, found[0])
 
+    def too_late(self):
+        """Return how many flows were not sent to a target before the caller gave up."""
+        in_time = sum(waited_s < CALLER_GIVE_UP_S for waited_s in self.waited)
+        return len(self.opened_at) - in_time
+
     def most_in_a_window(self):
         """Return the most opening packets of a cold target within `WINDOW_S`."""
         return max(
@@ -125,3 +139,13 @@
         self.assertLessEqual(limited.most_in_a_window(), LIMIT)
         self.assertGreater(unlimited.most_in_a_window(), LIMIT * OVERRUN + SLACK)
         self.assertGreater(limited.in_time, unlimited.in_time)
+
+    def test_flows_of_a_burst_are_placed_by_the_time_that_they_would_wait(self):
+        # Counting a cold target as merely full leaves flows in its queue until their
+        # callers give up, while warm targets have capacity again.
+        limited = Replay(True, burst=40).run()
+        with mock.patch.object(WarmUpBudget, "expected_wait_s", lambda *args: 0.0):
+            reduced = Replay(True, burst=40).run()
+        self.assertEqual(limited.too_late(), 0)
+        self.assertGreater(reduced.too_late(), 0)
+        self.assertGreater(limited.in_time, reduced.in_time)
--- a/tests/processes/test_evacuation.py
+++ b/tests/processes/test_evacuation.py
@@ -4,10 +4,17 @@
 import unittest
 
 from tests.support.packets import SYN
-from tests.support.platform_deployment import SERVICE_ADDRESSES, PlatformDeployment
+from tests.support.platform_deployment import (
+    SERVICE_ADDRESSES,
+    PlatformDeployment,
+    configuration,
+)
 
 EVACUATE_S = 5.0  # time within which an evacuation must be in force
 OBJECT = "/put/evacuations/dc"
+WARM_UP_PER_S = 3
+# What the platform tolerates in one second: half more, and five opening packets.
+MAX_IN_ONE_SECOND = 1.5 * WARM_UP_PER_S + 5
 
 
 class EvacuationProcessTest(unittest.IsolatedAsyncioTestCase):
@@ -96,3 +103,40 @@
 
     async def knows_both(self, host):
         return (await self.deployment.status(host))["evacuated"] == ["dc", "dc-2"]
+
+
+class WarmUpProcessTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.deployment = PlatformDeployment(2, ("case-desk",) * 3)
+        self.addAsyncCleanup(self.deployment.stop)
+        await self.deployment.start()
+
+    async def open_many(self):
+        hosts = self.deployment.balancer_hosts
+        await asyncio.gather(*(self.deployment.open_flow(h) for h in hosts * 30))
+
+    async def test_a_cold_target_is_limited_also_over_a_restart_of_its_agent(self):
+        deployment, target = self.deployment, self.deployment.targets[0]
+        services = [{"name": "case-desk", "warmupPerS": WARM_UP_PER_S}]
+        limited = {**configuration(2), "services": services}
+        await deployment.store_call("PUT", "/put/config/main", limited)
+        for host in deployment.balancer_hosts:
+            await deployment.wait_until(lambda host=host: self.has_limit(host))
+        # The agents learn the limit from an acknowledgement, once a second.
+        await asyncio.sleep(1.5)
+        target.warm_up_left_ms = 60_000
+        seen = target.acknowledged
+        await deployment.wait_until(lambda: target.acknowledged > seen + 1)
+        await self.open_many()
+        deployment.kill(deployment.agent_hosts[0])
+        deployment.start_process(deployment.agent_hosts[0])
+        await self.open_many()
+        await asyncio.sleep(2.0)
+        await self.open_many()
+        self.assertGreater(len(target.opened_at), 0)
+        for start in target.opened_at:
+            count = sum(start <= at < start + 1.0 for at in target.opened_at)
+            self.assertLessEqual(count, MAX_IN_ONE_SECOND)
+
+    async def has_limit(self, host):
+        return (await self.deployment.status(host))["configuration"] == 2
--- a/tests/support/platform_deployment.py
+++ b/tests/support/platform_deployment.py
@@ -67,6 +67,7 @@
         self.app, self.outbound, self.admin = app, outbound, admin
         self.state, self.sequence = "ready", 0
         self.flows, self.opened, self.answered = set(), [], []
+        self.opened_at, self.warm_up_left_ms = [], 0
         self.acknowledged = 0
         self._transport = None
 
@@ -87,6 +88,7 @@
         if flags & SYN:
             self.flows.add(flow)
             self.opened.append(flow)
+            self.opened_at.append(asyncio.get_running_loop().time())
             self.send(packet(service_address, caller, SYN | ACK, 900))
         elif flow not in self.flows:
             self.send(returned(data))
@@ -121,7 +123,7 @@
             "version": "v1",
             "slots": 2,
             "state": self.state,
-            "warmupLeftMs": 0,
+            "warmupLeftMs": self.warm_up_left_ms,
             "seq": self.sequence,
         }
 
--- a/tests/target/test_warm_up.py
+++ b/tests/target/test_warm_up.py
@@ -150,6 +150,15 @@
             (decision.candidate, decision.forwarded.assigned), (OTHER, True)
         )
 
+    def test_the_load_of_a_limited_target_contains_the_wait_for_its_budget(self):
+        full = (2 + OVERCOMMIT_FLOWS) / 2
+        for queued in range(3):
+            wait_s = (queued + 1) / 2.0
+            self.assertAlmostEqual(
+                self.router.load(0.5), full + wait_s / self.flows.service_s
+            )
+            self.queue.put(flow(10 + queued), forwarded(), 0, 0.5)
+
     def test_flows_are_queued_only_if_no_other_candidate_can_take_them(self):
         self.assertEqual(self.decide(opening(3), 0.5), Enqueue("busy"))
         self.queue.put(flow(3), forwarded(), 0, 0.5)
