--- a/src/ryesaddle/daemons/passthrough/agent_monitor.py
+++ b/src/ryesaddle/daemons/passthrough/agent_monitor.py
@@ -151,7 +151,7 @@
                 report_interval_s(len(self._directory)),
                 store_era=self._eras.era,
                 evacuation=self._evacuations.state,
-                warm_up_per_s=routes.warm_up_rate(report.service) if routes else 0.0,
+                warm_up_per_s=routes.warm_up_rate(report.service) if routes else -1.0,
             )
             self._messages.send(report.address, ack)
         self._liveness.heard(report.node)
--- a/src/ryesaddle/daemons/passthrough/reporter.py
+++ b/src/ryesaddle/daemons/passthrough/reporter.py
@@ -192,6 +192,7 @@
         self._schedule.set_interval(addr, ack.interval_s)
         self._merge_evacuation(ack.evacuation, addr)
         self._eras.learn(ack.store_era, self._now())
+        self._router.set_warm_up_limit(addr, ack.warm_up_per_s, self._now())
         if ack.incarnation == self._incarnation:
             # Before this balancer counts as asked.
             self._on_previous_target(ack.target, ack.draining, f"balancer {ack.node}")
--- a/tests/support/passthrough.py
+++ b/tests/support/passthrough.py
@@ -27,6 +27,7 @@
 from ryesaddle.internal.target.report import TargetReport
 from ryesaddle.internal.target.router import AgentRouter
 from ryesaddle.internal.target.state import TargetState
+from ryesaddle.internal.target.warm_up import WarmUpBudget
 from ryesaddle.internal.wire.passthrough import (
     Candidate,
     decode_message,
@@ -137,12 +138,18 @@
         self.sequence = 0
         self.draining = False
         self.drain_acknowledged = False
+        self.warm_up_s = 0.0
         self.accepted_while_draining = []
 
     def report(self):
         self.sequence += 1
         return TargetReport(
-            self.name, self.service, self.sequence, draining=self.draining, slots=2
+            self.name,
+            self.service,
+            self.sequence,
+            draining=self.draining,
+            slots=2,
+            warm_up_s=self.warm_up_s,
         )
 
 
@@ -281,7 +288,8 @@
             FlowQueue(),
         )
         me = Candidate(node, address)
-        router = AgentRouter(me, service, target_state, flows, queue)
+        warm_up = WarmUpBudget(self.now)
+        router = AgentRouter(me, service, target_state, flows, queue, warm_up)
         router.known_to_balancers = False
         target_state.restored_confirmed = False
         messages = FakeMessages(self, address)
