--- a/bench/passthrough.py
+++ b/bench/passthrough.py
@@ -1,10 +1,15 @@
 """Memory and time that balancers and agents spend per flow, packet and agent."""
 
+import asyncio
+import socket
 import time
 import tracemalloc
 
+from ryesaddle.daemons.passthrough.sockets import MessageSocket
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.membership.directory import AgentDirectory
+from ryesaddle.internal.metrics import Metrics
+from ryesaddle.internal.routing.lookup_batches import LookupBatches
 from ryesaddle.internal.routing.packet import Flow, Packet
 from ryesaddle.internal.routing.placement import Placement
 from ryesaddle.internal.routing.search import Searches
@@ -16,8 +21,14 @@
 from ryesaddle.internal.wire.passthrough import (
     AgentReport,
     Candidate,
+    FlowId,
+    FlowLookup,
+    FlowLookupResult,
+    FlowQuery,
+    FlowUnknown,
     ForwardedPacket,
     Gossip,
+    LookupItem,
     decode_message,
     encode_message,
 )
@@ -29,6 +40,8 @@
 AGENT_FLOW_COUNTS = (2_500, 5_000, 10_000, 20_000)  # an agent remembers no more
 AGENT_COUNTS = (32, 64, 128, 256, 512)
 CALLS_PER_RUN = 2_000
+LOOKUP_FLOWS = 10  # as many packets of 120 bytes share a datagram
+LOOKUP_RUNS = 5
 OPENING_PACKET = bytes.fromhex(
     "11223344 00000000 00000000 0000 a1b2c3d5 64400007 c6120001 01bb 9c41 08 0000000000"
 )
@@ -45,6 +58,7 @@
         ("later packet at the balancer, us by agents", AGENT_COUNTS, _known_flow_us),
         ("report at the balancer, us by agents", AGENT_COUNTS, _report_us),
         ("search at the balancer, us by agents", AGENT_COUNTS, _search_us),
+        ("lookup of a flow at one agent, us by agents", AGENT_COUNTS, _lookup_us),
     ):
         points = {size: round(measure(size), 2) for size in sizes}
         slope, base = _fit_line(points)
@@ -174,6 +188,79 @@
     return _time_us(search)
 
 
+def _lookup_us(agents):
+    """Return the time of one flow in one answered lookup, among ``agents`` agents."""
+    directory = _make_directory(agents)
+    placement = Placement("bkk-a", directory)
+    members, nodes = directory.members(), [m.node for m in directory.members()]
+    flows = [_make_flow(number) for number in range(LOOKUP_FLOWS)]
+    items = tuple(LookupItem(*flow, OPENING_PACKET) for flow in flows)
+    answer = tuple(FlowId(*flow) for flow in flows)
+
+    def look_up():
+        batches, searches = LookupBatches(), Searches()
+        for flow, item in zip(flows, items, strict=True):
+            searches.add(Packet(flow), OPENING_PACKET, 0.0)
+            searches[flow].first_round_over = True
+            searches.next_step(flow, members, True, 0.0)
+            for node in nodes:
+                batches.add(node, item)
+        for node, batch in batches.pop_all():
+            encode_message(FlowLookup(SERVICE_ADDRESS, batch))
+            result = decode_message(encode_message(FlowLookupResult(node, (), answer)))
+            placement.liveness.heard(node)
+            for found in result.absent:
+                searches.record_refusal(Flow(found.caller, found.front), node)
+
+    times = []
+    for _ in range(LOOKUP_RUNS):
+        started_at = time.perf_counter()
+        look_up()
+        times.append(time.perf_counter() - started_at)
+    return min(times) / (agents * LOOKUP_FLOWS) * 1e6
+
+
+def _datagram_us():
+    """Return the time to send a datagram from an event loop and receive its answer."""
+    return asyncio.run(_exchange_datagrams())
+
+
+async def _exchange_datagrams():
+    balancer, agent = _message_socket(), _message_socket()
+    answered, count = asyncio.Event(), 0
+    question = FlowQuery(SERVICE, balancer[1], SERVICE_ADDRESS, SERVICE_ADDRESS)
+    answer = FlowUnknown("side-1", SERVICE_ADDRESS, SERVICE_ADDRESS, True)
+
+    def on_answer(msg, addr):
+        nonlocal count
+        count += 1
+        if count < CALLS_PER_RUN:
+            balancer[0].send(agent[1], question)
+        else:
+            answered.set()
+
+    agent[0].on(FlowQuery, lambda msg, addr: agent[0].send(balancer[1], answer))
+    balancer[0].on(FlowUnknown, on_answer)
+    for messages, _ in (balancer, agent):
+        await messages.listen()
+    started_at = time.process_time()
+    balancer[0].send(agent[1], question)
+    async with asyncio.timeout(30.0):
+        await answered.wait()
+    # This process has done the work of both sides.
+    elapsed_s = (time.process_time() - started_at) / 2
+    for messages, _ in (balancer, agent):
+        messages.close()
+    return elapsed_s / CALLS_PER_RUN * 1e6
+
+
+def _message_socket():
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.bind(("127.0.0.1", 0))
+    sock.setblocking(False)
+    return MessageSocket(sock, Metrics()), Address(*sock.getsockname())
+
+
 def _fixed_costs():
     target_state, flows = TargetState(SERVICE, 0.77), TargetFlows()
     target_state.apply_heartbeat(TargetReport("i-1", SERVICE, 1, slots=2), 0.0)
@@ -195,6 +282,7 @@
         live_agent_count=54,
     )
     return {
+        "datagram of a lookup, us": round(_datagram_us(), 2),
         "report, bytes": len(encode_message(_make_report(1))),
         "gossip, bytes": len(encode_message(gossip)),
         "envelope of a packet, bytes": len(encode_message(forwarded))
--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -7,6 +7,7 @@
 from ryesaddle.internal.log import event
 from ryesaddle.internal.routing.packet import Flow
 from ryesaddle.internal.target.flows import AnswerStarted, FlowOpened
+from ryesaddle.internal.target.lookups import FlowLookups
 from ryesaddle.internal.target.router import (
     Deliver,
     Drop,
@@ -18,6 +19,7 @@
 from ryesaddle.internal.target.sent_packets import SentPackets
 from ryesaddle.internal.wire.passthrough import (
     FlowLocation,
+    FlowLookup,
     FlowQuery,
     FlowUnknown,
     ForwardedPacket,
@@ -32,6 +34,10 @@
 CHECK_INTERVAL_S = 0.02
 # A target, which runs on the agent's host, returns a packet within a millisecond.
 CONFIRMATION_DELAY_S = 0.02
+# Answers to lookups are collected for this time, unless none is left to come.
+LOOKUP_RESULT_DELAY_S = 0.002
+# A target that has missed so many heartbeats may have crashed.
+MAX_MISSED_HEARTBEATS = 2
 
 
 class PassthroughAgent:
@@ -82,9 +88,12 @@
         self._reporter = reporter
         self._sent_packets = SentPackets()
         self._pending_confirmations = deque()
+        self._lookups = FlowLookups()
+        self._lookup_results_due = False
         self._target_silent = False
         messages.on(ForwardedPacket, self._on_forwarded_packet)
         messages.on(FlowQuery, self._on_flow_query)
+        messages.on(FlowLookup, self._on_flow_lookup)
 
     async def run(self):
         """Remove expired flows until cancelled."""
@@ -107,6 +116,9 @@
         """
         for payload in self._flows.packets_awaiting_answer():
             self._send_to_target(payload, None)
+        # What the previous target would have returned does not count for this one.
+        self._lookups.ask_again()
+        self._continue_lookups()
 
     # Packets
 
@@ -134,6 +146,67 @@
             answer = FlowUnknown(node, query.caller, query.front, certain)
         self._messages.send(query.balancer, answer)
 
+    # Lookups
+
+    def _on_flow_lookup(self, lookup, addr):
+        self._reporter.record_contact(lookup.balancer)
+        for item in lookup.items:
+            flow = Flow(item.caller, item.front)
+            packet = self._packets.read_caller(item.payload)
+            if packet is None or packet.opens or packet.flow != flow:
+                self._metrics.count("agent.malformed")
+                self._lookups.record_answer(flow, lookup.balancer, "unsure")
+            else:
+                self._lookups.add(flow, item.payload, lookup.balancer)
+        self._continue_lookups()
+
+    def _continue_lookups(self):
+        """Answer from the records, or send the packet of a flow to the target."""
+        now = self._now()
+        while (found := self._lookups.next_waiting()) is not None:
+            flow, payload, balancer = found
+            if flow in self._flows:
+                # The balancer need not send the packet again: "held" means that the
+                # target has been sent it, whether or not it had to be asked.
+                self._lookups.resolve(flow, "held")
+                forwarded = ForwardedPacket(self._settings.service, balancer, payload)
+                packet = self._packets.read_caller(payload)
+                self._deliver(Deliver("held"), forwarded, packet)
+            elif self._router.is_absent(now):
+                self._lookups.resolve(flow, "absent")
+            else:
+                token = self._sent_packets.new_token()
+                self._lookups.record_asked(flow, token, now)
+                self._metrics.count("agent.lookup_asked")
+                data = self._packets.with_token(payload, token)
+                self._target_socket.send(data, self._settings.target_address)
+        if not self._lookups:
+            self._send_lookup_results()
+        elif not self._lookup_results_due:
+            self._lookup_results_due = True
+            self._call_later(LOOKUP_RESULT_DELAY_S, self._send_lookup_results)
+
+    def _expire_lookups(self):
+        if not self._lookups:
+            return
+        now = self._now()
+        # A crashed target returns nothing either, and is not taken for the holder.
+        presumes = not (
+            self._target_state.has_missed_heartbeats(now, MAX_MISSED_HEARTBEATS)
+            or self._router.is_target_unresponsive(now)
+        )
+        self._lookups.expire(now, CONFIRMATION_DELAY_S, presumes)
+        self._continue_lookups()
+
+    def _send_lookup_results(self):
+        self._lookup_results_due = False
+        for balancer, result in self._lookups.pop_results(self._settings.node):
+            self._messages.send(balancer, result)
+            for verdict in ("held", "absent", "unsure", "presumed"):
+                flows = getattr(result, verdict)
+                if flows:
+                    self._metrics.count(f"agent.looked_up.{verdict}", len(flows))
+
     def _execute_decision(self, decision, forwarded, packet):
         match decision:
             case Deliver():
@@ -194,6 +267,7 @@
         self._check_target()
         self._process_queue()
         self._confirm_adopted_flows()
+        self._expire_lookups()
 
     def _confirm_adopted_flows(self):
         """Confirm to balancers the flows whose packets the target has not returned."""
@@ -272,12 +346,22 @@
                     target=self._target_state.target,
                     taken_ms=round(elapsed_s * 1000, 1),
                 )
+        if self._lookups and packet.flow in self._flows:
+            self._resolve_lookup(packet.flow)
         self._send_to_caller(data, packet.flow)
         self._metrics.count("agent.answered")
         if self._queue and self._router.has_capacity(self._now()):
             self._process_queue()
 
+    def _resolve_lookup(self, flow):
+        if self._lookups.resolve(flow, "held"):
+            self._continue_lookups()
+
     def _on_returned_packet(self, packet):
+        if self._lookups.record_return(packet.token, packet.flow):
+            self._flows.record_return(packet.flow, False)
+            self._continue_lookups()
+            return
         original = self._sent_packets.find(packet.token)
         if original is None:
             self._metrics.count("agent.return_unknown")
@@ -336,3 +420,6 @@
 
     def _now(self):
         return asyncio.get_running_loop().time()
+
+    def _call_later(self, delay_s, function):
+        asyncio.get_running_loop().call_later(delay_s, function)
--- a/src/ryesaddle/daemons/passthrough/balancer.py
+++ b/src/ryesaddle/daemons/passthrough/balancer.py
@@ -5,11 +5,14 @@
 
 from ryesaddle.internal.log import event
 from ryesaddle.internal.routing.dispatcher import Discard, Dispatch
+from ryesaddle.internal.routing.lookup_batches import LookupBatches
 from ryesaddle.internal.routing.packet import Flow
 from ryesaddle.internal.routing.search import (
     AwaitAnswers,
     Inconclusive,
+    LookUp,
     NotFound,
+    PresumeHolder,
     ProbeAgent,
     QueryAgents,
     Searches,
@@ -17,15 +20,21 @@
 from ryesaddle.internal.wire.passthrough import (
     Candidate,
     FlowLocation,
+    FlowLookup,
+    FlowLookupResult,
     FlowQuery,
     FlowUnknown,
     ForwardedPacket,
+    LookupItem,
     ReturnedPacket,
 )
 
 log = logging.getLogger(__name__)
 
 SEARCH_CHECK_INTERVAL_S = 0.05  # half of the time that an agent has for an answer
+# Lookups of several flows are collected for this time, since they share datagrams. It
+# is half of the time that an agent waits for its target.
+LOOKUP_DELAY_S = 0.01
 
 
 class PassthroughBalancer:
@@ -77,10 +86,13 @@
         self._callers_socket = callers_socket
         self._metrics = metrics
         self._searches = Searches()
+        self._lookups = LookupBatches()
+        self._lookups_due = False
         self.last_packet_at = 0.0
         messages.on(ReturnedPacket, self._on_returned_packet)
         messages.on(FlowLocation, self._on_flow_location)
         messages.on(FlowUnknown, self._on_flow_unknown)
+        messages.on(FlowLookupResult, self._on_lookup_result)
 
     async def run(self):
         """Continue delayed searches until cancelled."""
@@ -92,6 +104,9 @@
         """Continue searches that wait for a late answer or for the rate limit."""
         for flow in self._searches.expire_queries(self._now()):
             self._continue_search(flow)
+        for flow, search in self._searches.pop_abandoned():
+            self._metrics.count("balancer.searches_abandoned")
+            event(log, "search-abandoned", flow=flow, asked=search.asked_count)
 
     def on_caller_packet(self, data, addr):
         """Handle a datagram from a caller."""
@@ -172,12 +187,14 @@
         now = self._now()
         member = self._placement.find(packet.flow)
         if member is not None:
-            self._send_to_agent(member, data)
-            if self._placement.is_alive(member, now):
+            is_alive = self._placement.is_alive(member, now)
+            self._send_to_agent(member, data, wants_location=not is_alive)
+            if is_alive:
                 return
             # The agent may be unreachable, or may never have held the flow.
-            if self._searches.add(packet, data, now):
-                self._searches.skip_agent(packet.flow, member.node)
+            due = self._searches.add(packet, data, now)
+            self._searches.skip_agent(packet.flow, member.node)
+            if due:
                 self._continue_search(packet.flow)
         elif route is None and self._route_updater.was_removed(packet.flow.front):
             self._send_reset(packet, "no-route")
@@ -204,18 +221,30 @@
         if not search.packets:
             return
         waiting = search.packets[0]
-        members = self._placement.rank_for_search(self._services(flow), flow, now)
-        match self._searches.next_step(flow, members, self._directory.complete, now):
+        if search.first_round_over:
+            members = self._directory.members()
+        else:
+            members = self._placement.rank_for_search(self._services(flow), flow, now)
+        complete = self._directory.complete
+        step = self._searches.next_step(
+            flow, members, complete, now, lambda m: self._placement.is_alive(m, now)
+        )
+        match step:
             case QueryAgents(nodes=nodes):
                 self._query_agents(nodes, flow)
+            case LookUp(nodes=nodes):
+                self._look_up(nodes, flow, waiting)
             case ProbeAgent(node=node, number=number):
                 self._probe_agent(node, waiting, number)
             case NotFound():
+                self._metrics.observe("balancer.lost", now - search.started_at)
                 self._placement.forget(flow)
                 self._send_reset(waiting.packet, "held-nowhere")
+            case PresumeHolder(node=node):
+                self._finish_search(flow, node, "presumed")
             case Inconclusive(reason=reason):
-                self._placement.forget(flow)
-                self._drop(waiting.packet, reason)
+                self._metrics.count(f"balancer.search_retried.{reason}")
+                event(log, "search-continues", flow=flow, reason=reason)
             case AwaitAnswers():
                 pass
 
@@ -230,6 +259,52 @@
         self._metrics.count("balancer.queried", len(nodes))
         event(log, "query", flow=flow, first=nodes[0], agents=len(nodes))
 
+    def _look_up(self, nodes, flow, waiting):
+        """Ask agents for a flow in datagrams that several flows share."""
+        item = LookupItem(flow.caller, flow.front, waiting.payload)
+        for node in nodes:
+            if full := self._lookups.add(node, item):
+                self._send_lookup(node, full)
+        self._metrics.count("balancer.looked_up", len(nodes))
+        event(log, "lookup", flow=flow, agents=len(nodes))
+        if len(self._searches) == 1:
+            self._send_lookups()
+        elif not self._lookups_due:
+            self._lookups_due = True
+            self._call_later(LOOKUP_DELAY_S, self._send_lookups)
+
+    def _send_lookups(self):
+        self._lookups_due = False
+        for node, items in self._lookups.pop_all():
+            self._send_lookup(node, items)
+
+    def _send_lookup(self, node, items):
+        member = self._directory.find(node)
+        if member is None:
+            return
+        self._messages.send(member.address, FlowLookup(self._settings.peer, items))
+        self._searches.charge_datagrams(1, self._now())
+        self._metrics.count("balancer.lookup_datagrams")
+
+    def _on_lookup_result(self, result, addr):
+        node = result.node
+        self._placement.liveness.heard(node)
+        self._searches.record_lookup_answer(node)
+        for found in result.held:
+            self._finish_search(Flow(found.caller, found.front), node, "held")
+        for found in result.absent:
+            flow = Flow(found.caller, found.front)
+            if self._record_refusal(flow, node):
+                self._continue_search(flow)
+        for found in result.unsure:
+            flow = Flow(found.caller, found.front)
+            if self._searches.record_unanswered(flow, node):
+                self._continue_search(flow)
+        for found in result.presumed:
+            flow = Flow(found.caller, found.front)
+            if self._searches.record_presumed(flow, node):
+                self._continue_search(flow)
+
     def _probe_agent(self, node, waiting, number):
         member = self._directory.find(node)
         self._send_to_agent(member, waiting.payload, wants_location=True)
@@ -257,40 +332,57 @@
             if packet.flow not in self._searches:
                 now = self._now()
                 self._searches.add(packet, forwarded.payload, now)
-            record = (
-                self._searches.record_unanswered
-                # Sent by agents of an older version, without a look at their records.
-                if msg.reason == "other-service"
-                else self._searches.record_refusal
-            )
-            if record(packet.flow, msg.node):
+            if msg.reason == "other-service":
+                # From an agent of an older version, without a look at its records.
+                due = self._searches.record_unanswered(packet.flow, msg.node)
+            else:
+                due = self._record_refusal(packet.flow, msg.node)
+            if due:
                 self._continue_search(packet.flow)
 
+    def _record_refusal(self, flow, node):
+        member = self._directory.find(node)
+        target = "" if member is None else member.target
+        return self._searches.record_refusal(flow, node, target)
+
     def _on_flow_unknown(self, msg, addr):
         self._placement.liveness.heard(msg.node)
         flow = Flow(msg.caller, msg.front)
-        record = (
-            self._searches.record_refusal
-            if msg.certain
-            else self._searches.record_uncertain
-        )
-        if record(flow, msg.node):
+        if msg.certain:
+            due = self._record_refusal(flow, msg.node)
+        else:
+            due = self._searches.record_uncertain(flow, msg.node)
+        if due:
             self._continue_search(flow)
 
     def _on_flow_location(self, msg, addr):
         self._placement.liveness.heard(msg.node)
-        flow = Flow(msg.caller, msg.front)
-        member = self._directory.find(msg.node)
+        self._finish_search(Flow(msg.caller, msg.front), msg.node, "located")
+
+    def _finish_search(self, flow, node, reason):
+        """Record the agent of a flow, and send it the packets that wait for that."""
+        member = self._directory.find(node)
         search = self._searches.finish(flow)
         if member is None:
             return
-        self._placement.record_agent(flow, msg.node)
+        self._placement.record_agent(flow, node)
         if search is None:
             return
-        event(log, "found", flow=flow, agent=msg.node, probes=search.probe_count)
-        # A probe has already delivered the first packet.
-        was_probed = search.probed_node == msg.node
-        for waiting in search.packets[1:] if was_probed else search.packets:
+        self._metrics.observe("balancer.found", self._now() - search.started_at)
+        event(
+            log,
+            "found",
+            flow=flow,
+            agent=node,
+            reason=reason,
+            asked=search.asked_count,
+            probes=search.probe_count,
+        )
+        if node in search.skipped:
+            return  # The packets were sent to this agent when they arrived.
+        # The target was sent the first packet with the lookup or the probe.
+        was_sent = reason != "located" or search.probed_node == node
+        for waiting in search.packets[1:] if was_sent else search.packets:
             self._send_to_agent(member, waiting.payload)
 
     def _send_reset(self, packet, reason):
@@ -315,3 +407,6 @@
 
     def _now(self):
         return asyncio.get_running_loop().time()
+
+    def _call_later(self, delay_s, function):
+        asyncio.get_running_loop().call_later(delay_s, function)
--- a/src/ryesaddle/internal/routing/search.py
+++ b/src/ryesaddle/internal/routing/search.py
@@ -1,9 +1,10 @@
 """Finds the agents of flows that a balancer does not know.
 
-The balancer first asks all agents, several at a time, whether they know the flow.
-Only an agent that started after its target may not know a flow that the target holds.
-If no agent knows the flow, such agents are sent a packet of it, one after the other;
-a target that does not hold the flow returns the packet.
+The balancer first asks the agents that most likely hold the flow whether they have a
+record of it. If none has, all other agents are asked at once, together with those that
+could not tell. These requests carry a packet of the flow. An agent that does not know
+all flows of its target sends it the packet; a target that does not hold the flow
+returns it. A flow that no target holds is thus found out in two round trips.
 """
 
 from collections import OrderedDict
@@ -16,21 +17,29 @@
 # An agent normally answers within a few milliseconds. It waits up to 20 ms for its
 # target to return a packet of a flow that the target does not hold.
 ANSWER_TIMEOUT_S = 0.1
-IDLE_SEARCH_TIMEOUT_S = 10.0  # a caller that has been silent for this long has given up
-MAX_SEARCHES = 2_000  # bounds memory; each flow with an unknown agent has one
+# Agents that have not answered, or could not tell, are asked again at this interval,
+# which is the shortest after which a caller retransmits.
+RETRY_INTERVAL_S = 0.2
+IDLE_SEARCH_TIMEOUT_S = 2.0  # callers retransmit at least every 1.6 s
+MAX_SEARCHES = 4_000  # bounds memory; each flow with an unknown agent has one
 MAX_QUEUED_PACKETS = 4  # queued for one flow; callers retransmit the rest
-# Nearly every live flow is known to one of the first agents. Each further batch is
-# twice as large, so that the number of rounds grows with the logarithm of the agents.
-FIRST_BATCH = 8
-MAX_BATCH = 64
-# Further queries and probes are mostly for flows that ended with their target. They
-# are rate-limited to leave CPU time for other flows on a small host.
-QUERIES_PER_S, QUERY_BURST = 1_000.0, 2_000
+FIRST_BATCH = 8  # nearly every live flow is known to one of these agents
+# Processor time at the balancer in microseconds, answers included. Measured were 3 to
+# 8 for a flow, and for a datagram 14 to 20 one at a time (bench/passthrough.py) and 36
+# to 57 eight at a time, on a machine that was shared with other work.
+LOOKUP_COST_US, DATAGRAM_COST_US = 8, 36
+QUERY_COST_US = DATAGRAM_COST_US + LOOKUP_COST_US
+# A fifth of a host with 0.39 of a core. The burst covers 330 flows that are lost at
+# once among 46 agents: a third of the 975 requests that failed in a power loss of the
+# tender portal.
+COST_PER_S_US, COST_BURST_US = 78_000, 300_000
+# Agents of an older version are sent a packet of the flow one after the other.
 UNTHROTTLED_PROBES = 6
 PROBES_PER_S, PROBE_BURST = 100.0, 100
-# Searches that wait for a rate limit and are continued at one check. Each costs a sort
-# of the agents, and the limits permit about as many steps between two checks.
-MAX_RESUMED_SEARCHES = 8
+# Searches that wait for the budget or for another attempt and are continued at one
+# check, every 50 ms. They are bounded because each costs a pass over all agents.
+MAX_RESUMED_SEARCHES = 16
+MAX_RETRIED_SEARCHES = 100
 
 
 class QueuedPacket(msgspec.Struct, frozen=True):
@@ -45,76 +54,115 @@
 
     Attributes
     ----------
+    started_at : float
+        Start of the search, in monotonic seconds.
     packets : list of QueuedPacket
-        Queued packets, oldest first. Probes carry the first one.
-    refused_by : set of str
-        Agents whose target does not hold the flow.
-    uncertain : set of str
-        Agents that do not know whether their target holds the flow.
+        Queued packets, oldest first. Lookups and probes carry the first one.
+    targets : dict of str to str
+        The target of each agent that was asked, as known when it was asked.
+    refused_by : dict of str to str
+        Agents whose target does not hold the flow, and that target.
+    presumed : set of str
+        Agents whose target runs and has not returned a packet of the flow.
     silent : set of str
-        Agents that did not answer a query in time. They have not been probed.
+        Agents that did not answer a lookup in time and are due for a probe.
     unanswered : set of str
-        Agents that did not answer a probe in time, or that were passed over as
-        unreachable.
-    queried : dict of str to float
-        Agents whose answer to a query is awaited, and when they were queried, in
-        monotonic seconds.
-    batch_size : int
-        How many agents the next query goes to.
+        Agents that did not answer or could not tell. They are asked again later.
+    skipped : set of str
+        Agents that are not asked in the first round, as they may be unreachable.
+    queried, looked_up : dict of str to float
+        Agents whose answer is awaited, and when they were asked, in monotonic seconds.
+    first_round_over : bool
+        Whether the most likely agents have been queried.
+    packet_sent : bool
+        Whether targets may have been sent a packet of the flow.
     probed_node : str
         The agent whose answer to a probe is awaited; empty if there is none.
     probed_at : float
         When that agent was probed, in monotonic seconds.
     probe_count : int
         How many probes were sent.
+    asked_count : int
+        How many agents were asked in all rounds.
+    asked_at : float
+        When agents were last queried or looked up, in monotonic seconds; at first the
+        start of the search.
+    retry_at : float
+        When the next attempt begins, in monotonic seconds; 0 if none is due.
     throttled : bool
         Whether the next step waits for the rate limit.
     last_packet_at : float
         When the caller last sent a packet, in monotonic seconds.
     """
 
+    started_at: float = 0.0
     packets: list[QueuedPacket] = []
-    refused_by: set[str] = set()
-    uncertain: set[str] = set()
+    targets: dict[str, str] = {}
+    refused_by: dict[str, str] = {}
+    presumed: set[str] = set()
     silent: set[str] = set()
     unanswered: set[str] = set()
+    skipped: set[str] = set()
     queried: dict[str, float] = {}
-    batch_size: int = FIRST_BATCH
+    looked_up: dict[str, float] = {}
+    first_round_over: bool = False
+    packet_sent: bool = False
     probed_node: str = ""
     probed_at: float = 0.0
     probe_count: int = 0
+    asked_count: int = 0
+    asked_at: float = 0.0
+    retry_at: float = 0.0
     throttled: bool = False
     last_packet_at: float = 0.0
 
     @property
     def awaits_answer(self):
-        """Whether a query or a probe is under way."""
-        return bool(self.queried or self.probed_node)
+        """Whether a query, a lookup or a probe is under way."""
+        return bool(self.queried or self.looked_up or self.probed_node)
 
     @property
     def effort(self):
-        """How many agents were queried and probed so far."""
-        return len(self.tried()) + self.probe_count
-
-    def tried(self):
-        """Return the agents that need no further query."""
+        """How many agents were asked and probed so far."""
+        return self.asked_count + self.probe_count
+
+    def forget_ended_targets(self, members):
+        """Forget answers that were given for another target than an agent has now."""
+        for member in members:
+            target = self.refused_by.get(member.node)
+            if target is not None and target != member.target:
+                del self.refused_by[member.node]
+
+    def is_settled(self, node):
+        """Whether an agent needs no lookup in this attempt."""
         return (
-            self.refused_by
-            | self.uncertain
-            | self.silent
-            | self.unanswered
-            | self.queried.keys()
+            node in self.refused_by
+            or node in self.presumed
+            or node in self.silent
+            or node in self.unanswered
         )
 
+    def end_attempt(self):
+        """Prepare the next attempt, which begins `RETRY_INTERVAL_S` after this one."""
+        self.retry_at = max(self.asked_at, self.retry_at) + RETRY_INTERVAL_S
+        for nodes in (self.presumed, self.silent, self.unanswered):
+            nodes.clear()
+
 
 class QueryAgents(msgspec.Struct, frozen=True):
-    """Ask these agents whether they know the flow."""
+    """Ask these agents whether they have a record of the flow."""
+
+    nodes: tuple[str, ...]
+
+
+class LookUp(msgspec.Struct, frozen=True):
+    """Ask these agents for the flow, with its first packet for their targets."""
 
     nodes: tuple[str, ...]
 
 
 class ProbeAgent(msgspec.Struct, frozen=True):
-    """Send the first packet of the flow to this agent.
+    """Send the first packet of the flow to this agent, which is of an older version.
 
     Attributes
     ----------
@@ -132,12 +180,21 @@
     """Do nothing until an agent answers or the rate limit permits the next step."""
 
 
+class PresumeHolder(msgspec.Struct, frozen=True):
+    """Only this agent's target can hold the flow, and it has not returned its packet.
+
+    The search is over.
+    """
+
+    node: str
+
+
 class NotFound(msgspec.Struct, frozen=True):
     """Every agent has answered that its target does not hold the flow."""
 
 
 class Inconclusive(msgspec.Struct, frozen=True):
-    """The search is paused until the caller sends again, for this reason."""
+    """The agents that may hold the flow are asked again, for this reason."""
 
     reason: str
 
@@ -146,14 +203,20 @@
     """Searches for flows.
 
     A target that does not hold an open flow never will, because open flows do not
-    move between targets. An agent that has said so is therefore not asked again,
-    however often the caller sends.
+    move between targets. An agent that has said so is therefore not asked again while
+    its target stays the same, however often the caller sends.
+
+    Addresses thousands of flows that are lost at once by a power loss: each ends after
+    two rounds, and the time that they take is bounded by a budget. Searches that have
+    asked few agents go first, as flows that are held are mostly found by the first.
     """
 
     def __init__(self):
         self._searches = OrderedDict()
-        self._query_limiter = TokenBucket(QUERIES_PER_S, QUERY_BURST)
+        self._budget = TokenBucket(COST_PER_S_US, COST_BURST_US)
         self._probe_limiter = TokenBucket(PROBES_PER_S, PROBE_BURST)
+        self._abandoned = []
+        self._answers_lookups = set()
 
     def __len__(self):
         return len(self._searches)
@@ -168,67 +231,97 @@
         """Queue a packet; return whether `next_step` is due."""
         search = self._searches.get(packet.flow)
         if search is None:
-            search = self._searches[packet.flow] = Search()
+            search = self._searches[packet.flow] = Search(started_at=now, asked_at=now)
             if len(self._searches) > MAX_SEARCHES:
-                self._searches.popitem(last=False)
+                self._abandoned.append(self._searches.popitem(last=False))
         search.last_packet_at = now
         self._searches.move_to_end(packet.flow)
         if len(search.packets) < MAX_QUEUED_PACKETS:
             search.packets.append(QueuedPacket(packet, payload))
         return not search.awaits_answer
 
-    def record_refusal(self, flow, node):
+    def record_refusal(self, flow, node, target=""):
         """Record that the target of an agent does not hold a flow.
 
-        Returns whether `next_step` is due.
+        Parameters
+        ----------
+        flow : Flow
+            The flow.
+        node : str
+            The agent.
+        target : str
+            Its present target, if the agent answers without having been asked.
+
+        Returns
+        -------
+        bool
+            Whether `next_step` is due.
         """
         search = self._searches.get(flow)
         if search is None:
             return False
-        for nodes in (search.uncertain, search.silent, search.unanswered):
+        for nodes in (search.presumed, search.silent, search.unanswered):
             nodes.discard(node)
-        search.refused_by.add(node)
+        search.refused_by[node] = search.targets.get(node, target)
         return self._record_answer(search, node)
 
     def record_uncertain(self, flow, node):
-        """Record that an agent does not know whether its target holds a flow.
+        """Record that an agent has no record of a flow, and does not know all flows.
 
         Returns whether `next_step` is due.
         """
         search = self._searches.get(flow)
-        if search is None or node in search.refused_by or node == search.probed_node:
+        if search is None or search.queried.pop(node, None) is None:
             return False
-        search.silent.discard(node)
-        if node not in search.unanswered:
-            search.uncertain.add(node)
-        return self._record_answer(search, node)
+        return not search.awaits_answer
 
     def record_unanswered(self, flow, node):
-        """Record that an agent has answered without saying whether it holds a flow.
+        """Record that an agent has answered a lookup or probe, but could not tell.
+
+        Returns whether `next_step` is due.
+        """
+        search = self._searches.get(flow)
+        if search is None:
+            return False
+        if node not in search.refused_by:
+            search.unanswered.add(node)
+        return self._record_answer(search, node)
+
+    def record_presumed(self, flow, node):
+        """Record that the target of an agent runs and has not returned a packet.
 
         Returns whether `next_step` is due.
         """
         search = self._searches.get(flow)
         if search is None:
             return False
-        self.skip_agent(flow, node)
+        # An answer that comes after the timeout counts only if the agent is not asked
+        # again: another attempt has begun or the agent is due for one.
+        if node in search.looked_up:
+            search.presumed.add(node)
         return self._record_answer(search, node)
 
+    def record_lookup_answer(self, node):
+        """Record that an agent answers lookups, so that it is not probed."""
+        self._answers_lookups.add(node)
+
     def skip_agent(self, flow, node):
-        """Query the other agents first, because this one may be unreachable.
+        """Ask the other agents first, because this one may be unreachable.
 
         The missing answer does not count as a refusal: the agent's target may hold
         the flow.
         """
-        search = self._searches[flow]
-        if node not in search.refused_by:
-            search.unanswered.add(node)
+        self._searches[flow].skipped.add(node)
+
+    def charge_datagrams(self, count, now):
+        """Charge the budget for datagrams with lookups."""
+        self._budget.charge(now, count * DATAGRAM_COST_US)
 
     def finish(self, flow):
         """End the search for a flow; return its `Search`, or None if there was none."""
         return self._searches.pop(flow, None)
 
-    def next_step(self, flow, members, complete, now):
+    def next_step(self, flow, members, complete, now, is_alive=lambda member: True):
         """Return the next step of a search, one of the structs in this module.
 
         Parameters
@@ -236,36 +329,49 @@
         flow : Flow
             A flow with a search and at least one queued packet.
         members : sequence of Member
-            All known agents that may hold it, most likely first.
+            All known agents that may hold it, most likely first. The order matters
+            for the first round only.
         complete : bool
             Whether ``members`` is known to include every agent.
         now : float
             Seconds on a monotonic clock.
+        is_alive : callable
+            Whether an agent has been heard from lately. Agents that have not are not
+            taken for agents of an older version.
         """
         search = self._searches[flow]
         if search.awaits_answer:
             return AwaitAnswers()
-        search.throttled = False
-        names = [m.node for m in members]
-        tried = search.tried()
-        untried = [name for name in names if name not in tried]
-        if untried:
-            return self._query(search, untried, now)
-        for unsure in (search.uncertain, search.silent):
-            nodes = [name for name in names if name in unsure]
-            if nodes:
-                return self._probe(search, nodes[0], now)
-        if complete and not search.unanswered and members:
+        search.forget_ended_targets(members)
+        possible = [m for m in members if m.node not in search.refused_by]
+        if members and not possible and complete:
             del self._searches[flow]
             return NotFound()
-        reason = "agents-silent" if search.unanswered else "agents-unknown"
-        search.unanswered.clear()
-        search.packets.clear()
-        search.batch_size = FIRST_BATCH
-        return Inconclusive(reason)
+        if now < search.retry_at:
+            return AwaitAnswers()
+        search.throttled = False
+        if not search.first_round_over:
+            first = [m for m in possible if m.node not in search.skipped][:FIRST_BATCH]
+            if first:
+                return self._query(search, first, now)
+            search.first_round_over = True
+        if pending := [m for m in possible if not search.is_settled(m.node)]:
+            return self._look_up(search, pending, now)
+        for member in possible:
+            if member.node not in search.silent:
+                continue
+            if not self._is_older(member, is_alive):
+                search.silent.discard(member.node)
+                search.unanswered.add(member.node)
+                continue
+            return self._probe(search, member, now)
+        if len(possible) == 1 and possible[0].node in search.presumed:
+            return PresumeHolder(possible[0].node)
+        search.end_attempt()
+        return Inconclusive("agents-silent" if possible else "agents-unknown")
 
     def expire_queries(self, now):
-        """Time out queries and probes, and drop searches of idle callers.
+        """Time out queries, lookups and probes, and drop searches of idle callers.
 
         Returns
         -------
@@ -274,37 +380,75 @@
             limit, the ones with the least effort: a flow that is held is mostly found
             by one of the first steps.
         """
-        due, throttled = [], []
+        due, retried, throttled = [], [], []
         for flow, search in list(self._searches.items()):
             if self._expire_answers(search, now):
                 due.append(flow)
             elif search.awaits_answer:
                 continue
             elif now - search.last_packet_at >= IDLE_SEARCH_TIMEOUT_S:
-                del self._searches[flow]
+                self._abandoned.append((flow, self._searches.pop(flow)))
             elif search.throttled:
                 throttled.append(flow)
+            elif search.retry_at and now >= search.retry_at:
+                retried.append(flow)
         throttled.sort(key=lambda flow: self._searches[flow].effort)
-        return due + throttled[:MAX_RESUMED_SEARCHES]
+        retried.sort(key=lambda flow: self._searches[flow].retry_at)
+        return due + retried[:MAX_RETRIED_SEARCHES] + throttled[:MAX_RESUMED_SEARCHES]
 
-    def _query(self, search, untried, now):
-        batch = untried[: search.batch_size]
-        is_first = search.batch_size == FIRST_BATCH
-        if not is_first and not self._query_limiter.try_take(now, len(batch)):
+    def pop_abandoned(self):
+        """Return (flow, `Search`) pairs of the searches that ended without a result."""
+        abandoned, self._abandoned = self._abandoned, []
+        return abandoned
+
+    def _query(self, search, members, now):
+        if not self._budget.try_overdraw(now, len(members) * QUERY_COST_US):
+            return self._throttle(search)
+        search.first_round_over = True
+        nodes = self._record_asked(search, members, now)
+        search.queried = dict.fromkeys(nodes, now)
+        return QueryAgents(nodes)
+
+    def _look_up(self, search, members, now):
+        cost = len(members) * LOOKUP_COST_US
+        # Once a target that does not hold the flow was sent a packet of it, the agents
+        # that have not been asked yet must be asked at once: the packets of a flow may
+        # not reach foreign targets for long while its own gets none.
+        is_first = any(m.node not in search.targets for m in members)
+        if search.packet_sent and is_first:
+            self._budget.charge(now, cost)
+        elif not self._budget.try_overdraw(now, cost):
             return self._throttle(search)
-        search.batch_size = min(MAX_BATCH, 2 * search.batch_size)
-        search.queried = dict.fromkeys(batch, now)
-        return QueryAgents(tuple(batch))
+        search.packet_sent = True
+        nodes = self._record_asked(search, members, now)
+        search.looked_up = dict.fromkeys(nodes, now)
+        return LookUp(nodes)
 
-    def _probe(self, search, node, now):
+    def _probe(self, search, member, now):
         number = search.probe_count
         if number >= UNTHROTTLED_PROBES and not self._probe_limiter.try_take(now):
             return self._throttle(search)
-        search.uncertain.discard(node)
-        search.silent.discard(node)
-        search.probed_node, search.probed_at = node, now
+        search.silent.discard(member.node)
+        search.probed_node, search.probed_at = member.node, now
+        search.packet_sent = True
         search.probe_count += 1
-        return ProbeAgent(node, number)
+        return ProbeAgent(member.node, number)
+
+    def _is_older(self, member, is_alive):
+        """Whether an agent that did not answer a lookup may be of an older version."""
+        if member.node in self._answers_lookups:
+            # Only this answer may be lost. It is probed if the next is missing too.
+            self._answers_lookups.discard(member.node)
+            return False
+        return is_alive(member)
+
+    @staticmethod
+    def _record_asked(search, members, now):
+        search.asked_count += len(members)
+        search.asked_at, search.retry_at = now, 0.0
+        for member in members:
+            search.targets[member.node] = member.target
+        return tuple(m.node for m in members)
 
     @staticmethod
     def _throttle(search):
@@ -315,6 +459,7 @@
     def _record_answer(search, node):
         """Clear what was awaited from an agent; return whether nothing else is."""
         search.queried.pop(node, None)
+        search.looked_up.pop(node, None)
         if search.probed_node == node:
             search.probed_node = ""
         return not search.awaits_answer
@@ -324,8 +469,13 @@
         """Give up answers that are late; return whether these were the last."""
         late = [n for n, at in search.queried.items() if now - at >= ANSWER_TIMEOUT_S]
         for node in late:
+            # The next round asks this agent too.
             del search.queried[node]
-            search.silent.add(node)
+        for node, at in list(search.looked_up.items()):
+            if now - at >= ANSWER_TIMEOUT_S:
+                late.append(node)
+                del search.looked_up[node]
+                search.silent.add(node)
         if search.probed_node and now - search.probed_at >= ANSWER_TIMEOUT_S:
             late.append(search.probed_node)
             search.unanswered.add(search.probed_node)
--- a/src/ryesaddle/internal/store/pacing.py
+++ b/src/ryesaddle/internal/store/pacing.py
@@ -34,6 +34,23 @@
         self._tokens -= count
         return True
 
+    def try_overdraw(self, now, count):
+        """Take ``count`` tokens if any is left; return whether they were taken.
+
+        The bucket may then owe tokens. A count above the capacity can thus be taken,
+        and the mean rate still holds.
+        """
+        self._refill(now)
+        if self._tokens <= 0:
+            return False
+        self._tokens -= count
+        return True
+
+    def charge(self, now, count):
+        """Take ``count`` tokens, even if the bucket then owes some."""
+        self._refill(now)
+        self._tokens -= count
+
     def _refill(self, now):
         if self._refilled_at is not None:
             gained = (now - self._refilled_at) * self._rate
--- a/src/ryesaddle/internal/target/sent_packets.py
+++ b/src/ryesaddle/internal/target/sent_packets.py
@@ -39,10 +39,13 @@
 
     def add(self, payload, forwarded):
         """Store a packet; return the token to attach to it."""
+        token = self.new_token()
+        self._ring[token % MAX_SENT_PACKETS] = SentPacket(token, payload, forwarded)
+        return token
+
+    def new_token(self):
+        """Return a token for a packet that is tracked elsewhere."""
         self._token = (self._token + 1) & MAX_TOKEN or 1
-        self._ring[self._token % MAX_SENT_PACKETS] = SentPacket(
-            self._token, payload, forwarded
-        )
         return self._token
 
     def find(self, token):
--- a/src/ryesaddle/internal/wire/passthrough.py
+++ b/src/ryesaddle/internal/wire/passthrough.py
@@ -314,8 +314,9 @@
 class FlowLookup(msgspec.Struct, frozen=True, array_like=True, tag=10):
     """Asks an agent which of several flows its target holds.
 
-    Other than with a `FlowQuery`, the agent asks its target about flows of which it
-    has no record, unless it knows all flows of the target.
+    Other than with a `FlowQuery`, the agent sends its target the packets of flows that
+    it has a record of. It also asks the target about flows of which it has no record,
+    by sending it their packets, unless it knows all flows of the target.
 
     Attributes
     ----------
@@ -337,8 +338,8 @@
     node : str
         Name of the agent.
     held, absent, unsure : tuple of FlowId
-        Flows that the target holds, that it does not hold, and those of which the
-        agent cannot tell.
+        Flows that the target holds and whose packet it has been sent, flows that it
+        does not hold, and those of which the agent cannot tell.
     presumed : tuple of FlowId
         Flows of which the agent has no record, but whose packet the target has not
         returned.
--- a/tests/routing/test_passthrough.py
+++ b/tests/routing/test_passthrough.py
@@ -1,5 +1,6 @@
 """Packet forwarding by balancers that start without state; targets hold the flows."""
 
+import itertools
 import unittest
 from unittest import mock
 
@@ -7,6 +8,7 @@
 from hypothesis import Phase, settings, strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
+    invariant,
     precondition,
     rule,
     run_state_machine_as_test,
@@ -19,10 +21,18 @@
 from ryesaddle.internal.routing.dispatcher import Dispatch
 from ryesaddle.internal.routing.packet import Flow
 from ryesaddle.internal.routing.placement import Placement
-from ryesaddle.internal.routing.search import ANSWER_TIMEOUT_S, PROBE_BURST, Searches
+from ryesaddle.internal.routing.search import (
+    ANSWER_TIMEOUT_S,
+    COST_BURST_US,
+    PROBE_BURST,
+    RETRY_INTERVAL_S,
+    Searches,
+)
 from ryesaddle.internal.target.flows import TargetFlows
+from ryesaddle.internal.target.lookups import FlowLookups
 from ryesaddle.internal.target.router import OVERCOMMIT_FLOWS
 from ryesaddle.internal.target.state import TargetState
+from ryesaddle.internal.wire.passthrough import FlowLookup
 from tests.support.packets import ACK, packet, returned
 from tests.support.passthrough import (
     FRONT,
@@ -87,6 +97,7 @@
         self.open = {}
         self.versions = [self.world.routes]
         self.knew_route = dict.fromkeys(BALANCERS, True)
+        self.ended = []  # flows whose target has ended
 
     @rule(balancer=balancers, copy=st.integers(0, 2))
     def open_flow(self, balancer, copy):
@@ -131,6 +142,55 @@
     def holders(self):
         return [target for _, target in self.world.agents.values()]
 
+    @precondition(lambda self: self.open)
+    @rule(
+        balancer=balancers,
+        index=st.integers(0, 30),
+        lost=st.lists(st.booleans(), min_size=5, max_size=20),
+    )
+    def send_while_messages_are_lost(self, balancer, index, lost):
+        flow = list(self.open)[index % len(self.open)]
+        pattern = itertools.cycle(lost)
+        self.world.is_lost = lambda source, to: next(pattern)
+        _, resets = self.world.send(balancer, flow.caller)
+        self.world.is_lost = lambda source, to: False
+        if self.was_route_removed(balancer) and resets:
+            self.open.pop(flow).flows.discard(flow)
+
+    @precondition(lambda self: self.ended)
+    @rule(balancer=balancers, index=st.integers(0, 30))
+    def send_on_ended_flow(self, balancer, index):
+        self.world.send(balancer, self.ended[index % len(self.ended)].caller)
+
+    @invariant()
+    def no_open_flow_is_reset(self):
+        """Searches continue between the packets of callers."""
+        for flow in self.world.resets:
+            assert flow not in self.open, f"{flow} was reset although it is held"
+
+    @rule(number=agents)
+    def crash_target(self, number):
+        if number in self.world.agents:
+            target = self.world.agents[number][1]
+            target.crashed = True
+            target.flows.clear()
+            ended = [flow for flow, held in self.open.items() if held is target]
+            for flow in ended:
+                del self.open[flow]
+            self.ended.extend(ended)
+
+    @rule(number=agents, heard=st.booleans())
+    def start_next_target(self, number, heard):
+        """Start another target beside the agent of one that has crashed."""
+        if number in self.world.agents:
+            agent, target = self.world.agents[number]
+            if target.crashed:
+                self.targets += 1
+                started = Target(f"i-{self.targets}", target.service)
+                self.world.agents[number] = (agent, started)
+                if heard:
+                    self.world.heartbeat(number)
+
     @precondition(lambda self: self.open)
     @rule(index=st.integers(0, 30))
     def close_flow(self, index):
@@ -180,7 +240,7 @@
 
     @rule(number=agents)
     def drain(self, number):
-        if number in self.world.agents:
+        if number in self.world.agents and not self.world.agents[number][1].crashed:
             self.world.agents[number][1].draining = True
             self.world.heartbeat(number)
 
@@ -240,6 +300,28 @@
         with patch, self.assertRaises(AssertionError):
             run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
 
+    def test_state_machine_detects_a_missing_answer_that_counts_as_a_refusal(self):
+        def expire_answers(search, now):
+            due = original(search, now)
+            for node in search.silent:
+                search.refused_by[node] = search.targets[node]
+            return due
+
+        original = Searches._expire_answers
+        mutation = staticmethod(expire_answers)
+        patch = mock.patch.object(Searches, "_expire_answers", mutation)
+        with patch, self.assertRaises(AssertionError):
+            run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
+
+    def test_state_machine_detects_a_target_whose_silence_counts_as_a_refusal(self):
+        def expire(self, now, delay_s, presumes):
+            for flow in list(self._asked):
+                self.resolve(flow, "absent")
+
+        patch = mock.patch.object(FlowLookups, "expire", expire)
+        with patch, self.assertRaises(AssertionError):
+            run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
+
 
 class ConfigurationChangeTest(unittest.TestCase):
     """Open flows after a change of the configuration.
@@ -526,13 +608,14 @@
         self.assertEqual(received, [holder])
 
     def test_a_flow_among_many_agents_is_found_without_waiting_for_the_caller(self):
-        """All agents have restarted, and the rate limit of probes binds."""
+        """All agents have restarted, and both rate limits bind."""
         numbers = range(1, 41)
         world = started(*numbers)
         flow, _ = self.open_flow_at_last_agent(world)
         for number in numbers:
             world.start_agent(number, SERVICE, world.agents[number][1])
         world.balancers[2]._searches._probe_limiter.try_take(world.now, PROBE_BURST)
+        world.balancers[2]._searches._budget.charge(world.now, COST_BURST_US)
         world.send(2, flow.caller)
         world.pass_time(1.0)
         self.assertEqual((world.answers, world.resets), ([flow], []))
@@ -568,8 +651,8 @@
         self.assertEqual(world.send(2, flow.caller), ([], []))
 
     def test_a_reset_without_a_complete_agent_list_is_detected(self):
-        def next_step(self, flow, members, complete, now):
-            return original(self, flow, members, True, now)
+        def next_step(self, flow, members, complete, *args):
+            return original(self, flow, members, True, *args)
 
         original = Searches.next_step
         patch = mock.patch.object(Searches, "next_step", next_step)
@@ -577,6 +660,147 @@
             self.test_a_balancer_without_a_complete_agent_list_resets_no_flow()
 
 
+class LostFlowsTest(unittest.TestCase):
+    """Flows whose targets have ended, and agents that cannot tell.
+
+    On trouble-1 of the tender portal 975 requests failed within 2 s of a power loss and
+    900 more in the 8 s after, on flows that were searched with sequential probes.
+    """
+
+    ROUND_TRIP_HOPS = 2
+
+    def restarted(self, count):
+        """Return a world whose agents have restarted and cannot tell."""
+        numbers = range(1, count + 1)
+        world = started(*numbers)
+        for number in numbers:
+            world.start_agent(number, SERVICE, world.agents[number][1])
+            world.heartbeat(number)
+            self.assertFalse(world.agents[number][0]._router.is_absent(world.now))
+        return world
+
+    def lose_flows(self, count=300, agent_count=40):
+        world = self.restarted(agent_count)
+        flows = [Flow(caller(number), FRONT) for number in range(count)]
+        begun = world.now
+        world.send_at_once(2, flows)
+        self.assertEqual(set(world.resets), set(flows))
+        self.assertEqual(len(world.resets), count)
+        hops = max(world.reset_depths.values())
+        self.assertLessEqual(hops, 2 * self.ROUND_TRIP_HOPS)
+        # No step has waited for a timeout or for the rate limit.
+        self.assertLess(world.now - begun, ANSWER_TIMEOUT_S / 2)
+        return world
+
+    def test_flows_that_are_lost_at_once_are_reset_within_two_round_trips(self):
+        world = self.lose_flows()
+        counts = world.balancers[2]._metrics.counts
+        self.assertEqual(counts["balancer.looked_up"], 300 * 40)
+        self.assertLess(counts["balancer.lookup_datagrams"], 300 * 40 / 10)
+
+    def test_sequential_probes_are_detected_as_too_slow(self):
+        """As formerly, an agent is sent a packet only after the one before it."""
+
+        def look_up(self, search, members, now):
+            search.silent.update(m.node for m in members)
+            return self._probe(search, members[0], now)
+
+        patch = mock.patch.object(Searches, "_look_up", look_up)
+        with patch, self.assertRaises(AssertionError):
+            self.lose_flows()
+
+    def test_a_held_flow_among_lost_ones_is_found_as_fast(self):
+        world = self.restarted(40)
+        flows = [Flow(caller(number), FRONT) for number in range(300)]
+        for index, number in enumerate(range(0, 300, 30)):
+            world.agents[4 * index + 1][1].flows.add(flows[number])
+        world.send_at_once(2, flows)
+        held = set(flows[::30])
+        self.assertEqual(set(world.resets), set(flows) - held)
+        self.assertEqual(sorted(world.answers), sorted(held))
+
+    def crash(self, world, number):
+        _, target = world.agents[number]
+        target.crashed = True
+        target.flows.clear()
+        return target
+
+    def test_a_crashed_target_is_not_taken_for_the_holder(self):
+        world = self.restarted(4)
+        self.crash(world, 1)
+        for number in (2, 3, 4):
+            world.heartbeat(number)
+        world.now += 2.0
+        for number in AGENTS:
+            world.report(number)
+        flow = Flow(caller(1), FRONT)
+        world.send(2, flow.caller)
+        world.pass_time(0.5)
+        self.assertEqual(world.resets, [])
+        self.assertIsNone(world.balancers[2]._placement.find(flow))
+        # The next target is asked without a further packet of the caller.
+        world.agents[1] = (world.agents[1][0], Target("i-new", SERVICE))
+        world.heartbeat(1)
+        world.pass_time(0.3)
+        self.assertEqual(world.resets, [flow])
+
+    def test_presuming_without_a_sign_of_life_is_detected(self):
+        patch = mock.patch.object(
+            TargetState, "has_missed_heartbeats", lambda self, now, count: False
+        )
+        with patch, self.assertRaises(AssertionError):
+            self.test_a_crashed_target_is_not_taken_for_the_holder()
+
+    def test_a_target_that_keeps_a_packet_without_an_answer_is_the_holder(self):
+        """A target need not answer a pure acknowledgement at once."""
+        world = self.restarted(4)
+        target = world.agents[3][1]
+        target.delays_acks = True
+        flow = Flow(caller(1), FRONT)
+        target.flows.add(flow)
+        world.send(2, flow.caller)
+        world.pass_time(CONFIRMATION_DELAY_S + CHECK_INTERVAL_S)
+        self.assertEqual(world.balancers[2]._placement.find(flow).node, "side-3")
+        self.assertEqual(world.resets, [])
+
+    def test_lost_answers_are_asked_for_again(self):
+        world = self.restarted(12)
+        flow = Flow(caller(1), FRONT)
+        lost = iter([True] * 12)
+        world.is_lost = lambda source, to: (
+            to.host == "10.0.1.2" and source.host != "10.0.2.1" and next(lost, False)
+        )
+        world.send(2, flow.caller)
+        self.assertEqual(world.resets, [])
+        world.pass_time(2 * ANSWER_TIMEOUT_S + RETRY_INTERVAL_S)
+        self.assertEqual(world.resets, [flow])
+
+    def test_an_agent_that_restarts_while_asked_is_asked_again(self):
+        world = self.restarted(4)
+        self.crash(world, 2)
+        flow = Flow(caller(1), FRONT)
+        world.send(2, flow.caller)
+        target = Target("i-2", SERVICE)
+        target.flows.add(flow)
+        world.start_agent(2, SERVICE, target)
+        world.pass_time(0.5)
+        self.assertEqual((world.answers, world.resets), ([flow], []))
+
+    def test_agents_of_an_older_version_are_probed(self):
+        for is_held in (False, True):
+            world = self.restarted(4)
+            flow = Flow(caller(1), FRONT)
+            if is_held:
+                world.agents[4][1].flows.add(flow)
+            for number in AGENTS:
+                address = Address(f"10.0.2.{number}", 7000)
+                del world._by_address[address].handlers[FlowLookup]
+            world.send(2, flow.caller)
+            world.pass_time(0.5)
+            self.assertEqual(world.resets, [] if is_held else [flow])
+            self.assertEqual(world.answers, [flow] if is_held else [])
+
+
 class CopyTest(unittest.TestCase):
     def test_dropping_a_queued_copy_does_not_reset_the_flow_at_another_agent(self):
         """One copy is queued at one agent, the next opens the flow at another."""
--- a/tests/support/passthrough.py
+++ b/tests/support/passthrough.py
@@ -1,5 +1,6 @@
 """Simulates balancers, agents and targets without sockets or a real clock."""
 
+import heapq
 from collections import defaultdict, deque
 
 from ryesaddle.daemons.passthrough.agent import PassthroughAgent
@@ -129,6 +130,8 @@
         self.sequence = 0
         self.draining = False
         self.accepted_while_draining = []
+        self.crashed = False  # a crashed target neither answers nor returns packets
+        self.delays_acks = False  # whether it leaves packets without data unanswered
 
     def report(self):
         self.sequence += 1
@@ -159,20 +162,39 @@
         self.resets = []
         self.answers = []
         self.is_lost = lambda source, target: False
+        self.reset_depths = {}
         self._queue = deque()
+        self._timers = []
+        self._timer_count = 0
+        self._depth = 0
         self._by_address = {}
         self._agent_starts = 0
 
     def enqueue(self, source, address, data):
-        self._queue.append((source, address, data))
+        self._queue.append((source, address, data, self._depth + 1))
+
+    def call_later(self, delay_s, function):
+        """Call a function when messages have settled; advances the clock."""
+        self._timer_count += 1
+        timer = (self.now + delay_s, self._timer_count, function, self._depth)
+        heapq.heappush(self._timers, timer)
 
     def settle(self):
-        """Deliver messages until none is left, including those sent in response."""
+        """Deliver messages until none is left, including those sent in response.
+
+        Short timers, by which processes collect messages, run when none is left. Each
+        message has a depth: one more than that of the message or timer that caused it.
+        """
         steps = 0
-        while self._queue:
+        while self._queue or self._timers:
             steps += 1
-            assert steps < 100_000, "messages still circulate after 100,000 deliveries"
-            source, address, data = self._queue.popleft()
+            assert steps < 1_000_000, "messages still circulate after 1,000,000 steps"
+            if not self._queue:
+                due, _, function, self._depth = heapq.heappop(self._timers)
+                self.now = max(self.now, due)
+                function()
+                continue
+            source, address, data, self._depth = self._queue.popleft()
             messages = self._by_address.get(address)
             if messages is None or self.is_lost(source, address):
                 continue
@@ -180,6 +202,7 @@
             handler = messages.handlers.get(type(msg))
             if handler is not None:
                 handler(msg, source)
+        self._depth = 0
 
     def pass_time(self, seconds):
         """Advance the clock in steps of 50 ms and run all timers that are due."""
@@ -229,6 +252,7 @@
             Metrics(),
         )
         agents._now = balancer._now = lambda: self.now
+        balancer._call_later = self.call_later
         self.balancers[number] = balancer
         self.route_updaters[number] = route_updater
         self._by_address[address] = messages
@@ -288,6 +312,7 @@
             FakePackets(self, number),
             Metrics(),
         )
+        agent._call_later = self.call_later
         heartbeats.on_target_started = agent.verify_flows
         held = self.entries.get(node)
         if held is not None and held.service == service:
@@ -323,6 +348,8 @@
         assert without_mutable_fields(data) in self.sent_by_callers, (
             "packet differs from every packet that a caller sent"
         )
+        if target.crashed:
+            return
         found = PlatformPackets().read_caller(without_mutable_fields(data))
         if found.opens and target.draining:
             target.accepted_while_draining.append(found.flow)
@@ -334,6 +361,8 @@
             target.flows.add(found.flow)
             answer = packet(found.flow.front, found.flow.caller, SYN | ACK, 7)
             agent.on_target_packet(answer, None)
+        elif found.flow in target.flows and target.delays_acks:
+            return
         elif found.flow in target.flows:
             answer = packet(found.flow.front, found.flow.caller, ACK, 8)
             agent.on_target_packet(answer, None)
@@ -344,6 +373,7 @@
         found = PlatformPackets().read_target(data)
         if found.resets:
             self.resets.append(found.flow)
+            self.reset_depths[found.flow] = self._depth
         else:
             self.answers.append(found.flow)
 
@@ -363,6 +393,14 @@
         self.settle()
         return self.answers[before[0] :], self.resets[before[1] :]
 
+    def send_at_once(self, balancer, flows):
+        """Send a packet of each flow through a balancer before any is answered."""
+        for flow in flows:
+            sent = packet(flow.caller, flow.front, ACK, 5)
+            self.sent_by_callers.add(sent)
+            self.balancers[balancer].on_caller_packet(sent, flow.caller)
+        self.settle()
+
     def target_of(self, flow):
         """Return the target that holds a flow, or None if no target does."""
         for _, target in self.agents.values():
