Listen for the target's heartbeats before the imports

Cause: a target that starts together with its agent calls again quickly after a refused connection. The agent then hears a later heartbeat first, which does not prove that it knows all flows of the target, so its answers about flows stay uncertain.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -71,13 +71,13 @@
         self.run_in_background(self.router.run())
 
     def settings_of(self, host):
-        """Return the settings of a process, and the address it binds first."""
-        fields, first_bound = super().settings_of(host)
+        """Return the settings of a process, and the addresses it binds first."""
+        fields, *first_bound = super().settings_of(host)
         fields["peer"] = str(self.at(proxy_host(host), "peer"))
         fields["store"] = str(Address(proxy_host(host), self.store.port))
         if host in self.balancer_hosts:
             fields["peer_listen"] = str(self.at(host, "peer"))
-        return fields, first_bound
+        return fields, *first_bound
 
     def start_process(self, host):
         """Start the balancer or the agent of a host."""
--- a/src/ryesaddle/daemons/passthrough/run_agent.py
+++ b/src/ryesaddle/daemons/passthrough/run_agent.py
@@ -35,6 +35,7 @@
 from ryesaddle.daemons.passthrough.reporter import Reporter
 from ryesaddle.daemons.passthrough.sockets import MessageSocket, PacketSocket
 from ryesaddle.errors import StoreError
+from ryesaddle.internal.address import Address
 from ryesaddle.internal.log import event, set_up_logging, warn
 from ryesaddle.internal.membership.directory import TargetEntry
 from ryesaddle.internal.metrics import Metrics
@@ -56,7 +57,13 @@
 
 
 async def run_agent(
-    settings, bound_socket, packets, api, handle_target_request, ready_path
+    settings,
+    bound_socket,
+    packets,
+    api,
+    handle_target_request,
+    ready_path,
+    control=None,
 ):
     """Run the agent beside a target until it is told to stop.
 
@@ -75,6 +82,8 @@
         `HttpReply`.
     ready_path : str
         Path of the platform's readiness probes.
+    control : socket.socket, optional
+        Socket that already listens for the target's heartbeats.
     """
     loop = asyncio.get_running_loop()
     set_up_logging(settings.log_level, settings.node, loop)
@@ -136,7 +145,11 @@
     server = HttpServer(handle)
     tasks = Supervisor()
     await target_socket.open(bind_udp(settings.outbound))
-    for address in {settings.ready, settings.control, settings.metrics}:
+    addresses = {settings.ready, settings.control, settings.metrics}
+    if control is not None:
+        await server.open(control)
+        addresses.discard(Address(*control.getsockname()))
+    for address in addresses:
         await server.open(bind_tcp(address))
     loading = asyncio.ensure_future(_load_balancers(store, reporter))
     tasks.start(_ask_seeds, loading, reporter, settings)
--- a/src/ryesaddle/platform/role.py
+++ b/src/ryesaddle/platform/role.py
@@ -21,7 +21,7 @@
 SETTINGS_VARIABLE = "RYESADDLE_SETTINGS"
 
 
-def run(role, bound_socket):
+def run(role, bound_socket, control=None):
     """Run a process of a role until it is signalled to stop.
 
     Parameters
@@ -30,6 +30,8 @@
         ``balancer`` or ``agent``.
     bound_socket : socket.socket
         UDP socket for callers' packets (balancer) or for messages (agent).
+    control : socket.socket, optional
+        Socket that listens for the target's heartbeats (agent).
     """
     path = os.environ[SETTINGS_VARIABLE]
     # Each role imports only what it needs: callers wait while a process starts.
@@ -57,6 +59,7 @@
                 PlatformObjects(lambda: settings.store),
                 _handle_target_request,
                 READY_PATH,
+                control,
             )
     except SettingsError as exc:
         sys.exit(f"error: {exc}")
--- a/tests/support/platform_deployment.py
+++ b/tests/support/platform_deployment.py
@@ -250,16 +250,16 @@
 
     def start_process(self, host):
         """Start the balancer or the agent of a host."""
-        fields, first_bound = self.settings_of(host)
+        fields, *first_bound = self.settings_of(host)
         file = self.folder / f"{host}.json"
         file.write_text(json.dumps(fields))
         role = "balancer" if host in self.balancer_hosts else "agent"
         self._spawn(
-            host, str(START_SCRIPT), role, first_bound, RYESADDLE_SETTINGS=str(file)
+            host, str(START_SCRIPT), role, *first_bound, RYESADDLE_SETTINGS=str(file)
         )
 
     def settings_of(self, host):
-        """Return the settings of a process, and the address it binds first."""
+        """Return the settings of a process, and the addresses it binds first."""
         fields = {
             "node": host,
             "data_centre": "dc",
@@ -283,7 +283,7 @@
             outbound=str(target.outbound),
             heartbeat_ms=100,
         )
-        return fields, fields["peer"]
+        return fields, fields["peer"], fields["control"]
 
     def _spawn(self, name, *args, **env):
         log = (self.folder / f"{name}.log").open("ab")
