Soak: silent draining targets, reused ports, agents killed after acknowledging

Targets may send no heartbeat after the one that says draining was acknowledged, agents are killed right after that acknowledgement, and callers open new flows, with another sequence number, from ports whose last flow has ended. Stand-ins tell successive flows of a port apart, and close flows.

A late heartbeat that says ready could open a target that a restarted agent had restored as draining. Such a target opens after two of its heartbeats in sequence, unless the first one is that of a new start.

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -16,6 +16,8 @@
 from tests.support.platform_deployment import SERVICE_ADDRESSES, configuration
 
 STOP_TIMEOUT_S = 6.0  # `graceS` in production
+DRAIN_ACK_TIMEOUT_S = 5.0  # longer than any other fault
+ACK_POLL_S = 0.002
 UNANSWERED_WRITES = 3  # writes per fault that the store does not answer
 DROPPED_SERVICE = "pack-archive"
 
@@ -217,14 +219,33 @@
                 target.is_hung = True
                 await asyncio.sleep(item.for_s)
                 target.is_hung = False
-            case "target-drains":
-                if target.state == "draining":
-                    return
+            case "target-drains" if target.state != "draining":
                 target.drain()
                 # New flows may still arrive during the drain period, but not after it.
                 await asyncio.sleep(DRAIN_PERIOD_S + item.for_s)
                 await self._deregister(target)
                 target.restart()
+            case "target-drains-silently" if target.state != "draining":
+                await self._drain_silently(item, target)
+            case "agent-killed-after-drain" if target.state != "draining":
+                await self._drain_silently(item, target, kills_agent=True)
+
+    async def _drain_silently(self, item, target, kills_agent=False):
+        """Let a target drain, then be silent until it starts again.
+
+        With ``kills_agent``, its agent is killed as soon as it has acknowledged.
+        """
+        start_number, host = target.start_number, item.hosts[0]
+        target.drain(silently=True)
+        waited_s = 0.0
+        while not target.drain_acknowledged and waited_s < DRAIN_ACK_TIMEOUT_S:
+            await asyncio.sleep(ACK_POLL_S)
+            waited_s += ACK_POLL_S
+        if kills_agent and host not in self._restarting:
+            await self._restart_process(item, host, signal.SIGKILL)
+        await asyncio.sleep(DRAIN_PERIOD_S + item.for_s)
+        if target.start_number == start_number:
+            target.restart()
 
     async def _deregister(self, target):
         path = f"/ryesaddle/instances/{target.name}/deregister"
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -134,8 +134,16 @@
         """Record that a target completed the handshake of a flow."""
         self.flows[caller].accepted_by = (target, self._start_counts[target])
 
+    def flow_closed(self, caller):
+        """Record that a target has closed a flow at the request of its caller."""
+        self.flows[caller].accepted_by = None
+
     # Callers
 
+    def port_reused(self, caller):
+        """Record that a caller opens another flow from a port."""
+        del self.flows[caller]
+
     def caller_sent(self, data, balancer):
         """Record a packet that a caller sent to a balancer."""
         self._caller_packets.add(without_mutable_fields(data))
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -27,6 +27,8 @@
     "target-restarts",
     "target-restarts-same-name",
     "target-drains",
+    "target-drains-silently",
+    "agent-killed-after-drain",
     "target-hangs",
     "odd-heartbeats",
 )
--- a/soak/report.py
+++ b/soak/report.py
@@ -7,6 +7,7 @@
     yield f"seed {result.seed}: {verdict}"
     yield (
         f"  traffic: {result.flows} flows attempted, {result.opened} opened, "
+        f"{result.reused_ports} from reused ports, "
         f"{result.requests} requests, {result.answered} answered; "
         f"{result.packets_dropped} packets dropped"
     )
--- a/soak/run.py
+++ b/soak/run.py
@@ -34,6 +34,8 @@
         Flows and requests of the sessions.
     packets_dropped : int
         Packets that the simulated network dropped.
+    reused_ports : int
+        Flows that were opened from the port of an earlier flow.
     """
 
     seed: int
@@ -44,6 +46,7 @@
     requests: int
     answered: int
     packets_dropped: int
+    reused_ports: int = 0
 
 
 class SoakRun:
@@ -110,6 +113,7 @@
                 for violation in violations_found
             ),
             packets_dropped=deployment.network.dropped,
+            reused_ports=deployment.caller.reused_ports,
             **self._traffic_counts,
         )
 
@@ -134,7 +138,7 @@
                 self._traffic_counts["answered"] += 1
                 await asyncio.sleep(rng.uniform(0.0, 0.4))
             if (port, service) not in self._long_lived_flows:
-                caller.end_flow(port, service)
+                await caller.end_flow(port, service)
 
     @staticmethod
     async def _stop_sessions(sessions):
--- a/src/ryesaddle/internal/target/state.py
+++ b/src/ryesaddle/internal/target/state.py
@@ -39,7 +39,8 @@
     from an earlier run of the present one, must not replace newer state. Runs are
     ordered by the start that heartbeats report. If the host's clock was set back, a new
     run reports an earlier start. It is told from late heartbeats by two heartbeats in
-    sequence, half an interval or more apart, while the present run is silent.
+    sequence, half an interval or more apart, while the present run is silent. The same
+    holds for a target that is restored as draining and says that it is ready.
 
     Parameters
     ----------
@@ -137,9 +138,11 @@
             reason = "ended-before"
         elif current is not None and self._is_older(report, current):
             reason = "started-before"
+        elif self._contradicts_restored(report):
+            reason = "drained-before"
         else:
             return self._begin_run(report, now)
-        if not self._started_after_clock_change(report, now):
+        if not self._is_running(report, now):
             return Ignored(reason)
         if current is not None:
             self._remember_ended(current.target, current.started_at)
@@ -181,11 +184,22 @@
         self.last_report = report
         self.last_heartbeat_at = self._last_heard_at = now
 
-    def _started_after_clock_change(self, report, now):
-        """Whether a run that seems earlier follows the present or the ended one."""
-        if report.started_at is None:
+    def _contradicts_restored(self, report):
+        """Whether a heartbeat may have been sent before its target drained.
+
+        The first heartbeat of a start cannot be told from a late one. A target that
+        has drained for long is not expected to be late by its whole life.
+        """
+        if report.draining or report.sequence <= 1:
             return False
-        if self._ended_targets.get(report.target) == report.started_at:
+        return self._restored == (report.target, True)
+
+    def _is_running(self, report, now):
+        """Whether a run that seems outdated is the present one, from its heartbeats."""
+        if report.target in self._ended_targets and report.started_at in (
+            None,
+            self._ended_targets[report.target],
+        ):
             return False
         previous, self._earlier_start = self._earlier_start, (report, now)
         if previous is None or not self._is_same_run(report, previous[0]):
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -2,7 +2,7 @@
 import unittest
 from pathlib import Path
 
-from soak.plan import FIRST_FAULT_S, load_plan, make_plan
+from soak.plan import FIRST_FAULT_S, Injection, load_plan, make_plan
 from soak.report import report_lines
 from soak.run import SoakRun
 
@@ -44,6 +44,18 @@
     async def test_invariants_hold_when_processes_are_stopped_during_start(self):
         await self.run_plan("stop-during-start")
 
+    async def test_draining_holds_when_agents_are_killed_after_acknowledging_it(self):
+        # Two of three agents of a service drain while the store refuses calls, and one
+        # of the balancers that know of it is away when they start again.
+        host, other = "127.0.11.1", "127.0.11.2"
+        plan = (
+            Injection(2.0, 1.5, "down"),
+            Injection(2.5, 0.5, "agent-killed-after-drain", (host,)),
+            Injection(2.5, 2.0, "target-drains-silently", (other,)),
+            Injection(3.0, 1.0, "kill", ("127.0.10.1",)),
+        )
+        await self.run_soak(SEED, plan)
+
     async def run_plan(self, name):
         plan = load_plan(PLANS / f"{name}.json")
         await self.run_soak(
--- a/tests/target/test_state.py
+++ b/tests/target/test_state.py
@@ -178,6 +178,26 @@
         state.apply_heartbeat(report("i-1", 9), 0.0)
         self.assertTrue(state.is_open())
 
+    def test_one_late_heartbeat_does_not_open_a_target_that_drained_before(self):
+        # It was sent before the draining, and the agent has restarted since.
+        for born in (None, 1_000):
+            state = state_after()
+            state.restore("i-1", True)
+            late = report("i-1", 5, started_at=born)
+            self.assertEqual(
+                state.apply_heartbeat(late, 0.0), Ignored("drained-before")
+            )
+            self.assertFalse(state.is_open())
+            later = report("i-1", 6, started_at=born)
+            state.apply_heartbeat(later, HEARTBEAT_INTERVAL_S)
+            self.assertTrue(state.is_open())
+
+    def test_a_new_start_opens_at_once_although_the_target_drained_before(self):
+        state = state_after()
+        state.restore("i-1", True)
+        state.apply_heartbeat(report("i-1", 1), 0.0)
+        self.assertTrue(state.is_open())
+
     def test_a_target_that_said_goodbye_is_not_restored(self):
         # Balancers that do not know of the goodbye yet still report the target.
         state = state_after(report("i-1"))
