--- a/soak/plan.py
+++ b/soak/plan.py
@@ -23,12 +23,15 @@
     "forget-history",
 )
 STORE_LINK_FAULTS = ("store-cut", "store-silent", "store-delay")
-TARGET_FAULTS = (
-    "target-restarts",
-    "target-restarts-same-name",
+DRAIN_FAULTS = (
     "target-drains",
     "target-drains-silently",
     "agent-killed-after-drain",
+)
+TARGET_FAULTS = (
+    "target-restarts",
+    "target-restarts-same-name",
+    *DRAIN_FAULTS,
     "target-hangs",
     "odd-heartbeats",
 )
@@ -80,7 +83,7 @@
     rng = random.Random(seed)
     # One kind per group: a few frequent kinds show better how faults interact.
     kinds = [rng.choice(group) for group in KIND_GROUPS]
-    kinds.append(rng.choice(PROCESS_FAULTS))
+    kinds += [rng.choice(PROCESS_FAULTS), rng.choice(DRAIN_FAULTS)]
     plan, at = [], FIRST_FAULT_S
     end = FIRST_FAULT_S + faults_s
     while at < end:
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -147,13 +147,7 @@
         now : float
             Seconds on a monotonic clock.
         """
-        record = self._flows.get(packet.flow)
-        if record is None or record.ended:
-            return False
-        return (
-            record.opening_sequence_number == packet.sequence_number
-            and now - record.opened_at < COPY_PERIOD_S
-        )
+        return self._is_copy(packet.flow, packet.sequence_number, now)
 
     def remove_superseded(self, packet, now):
         """Forget the flow whose port the caller reuses for a new opening packet."""
@@ -180,8 +174,9 @@
         """
         if self._unanswered_since is None:
             self._unanswered_since = now
-        if flow in self._flows:
+        if self._is_copy(flow, sequence_number, now):
             return
+        self._drop(flow)
         self._flows[flow] = _FlowRecord(now, opening, timeout_s, sequence_number)
         self._opening[flow] = now
         self._in_flight += 1
@@ -332,6 +327,15 @@
             return math.inf
         return now - self._flows[next(reversed(self._flows))].active_at
 
+    def _is_copy(self, flow, sequence_number, now):
+        record = self._flows.get(flow)
+        if record is None or record.ended:
+            return False
+        return (
+            record.opening_sequence_number == sequence_number
+            and now - record.opened_at < COPY_PERIOD_S
+        )
+
     def _opening_timeout_s(self):
         return min(
             MAX_OPENING_TIMEOUT_S,
--- a/tests/target/test_flows.py
+++ b/tests/target/test_flows.py
@@ -11,6 +11,7 @@
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.routing.packet import Flow, Packet
 from ryesaddle.internal.target.flows import (
+    COPY_PERIOD_S,
     MAX_FLOWS,
     MAX_OPENING_TIMEOUT_S,
     MIN_OPENING_TIMEOUT_S,
@@ -154,6 +155,38 @@
         self.assertNotIn(flow(2), flows)
 
 
+class CopyTest(unittest.TestCase):
+    """Guards against a new flow of a reused port that is taken for the earlier one."""
+
+    def setUp(self):
+        self.flows = TargetFlows()
+        self.flows.record_opening(flow(1), 0.0, sequence_number=500)
+
+    def is_copy(self, now, sequence_number=500):
+        packet = Packet(flow(1), opens=True, sequence_number=sequence_number)
+        return self.flows.is_copy(packet, now)
+
+    def test_a_copy_has_the_same_sequence_number_and_comes_soon(self):
+        self.assertTrue(self.is_copy(0.6))
+        self.assertFalse(self.is_copy(0.6, 501))
+        self.assertFalse(self.is_copy(COPY_PERIOD_S))
+
+    def test_no_copy_follows_a_flow_that_has_ended_or_that_was_adopted(self):
+        self.flows.record_target_packet(Packet(flow(1), ends=True), 0.1)
+        self.assertFalse(self.is_copy(0.6))
+        self.flows = TargetFlows()
+        self.flows.record_adopted(flow(1), 0.0)
+        self.assertFalse(self.is_copy(0.6))
+
+    def test_a_request_on_a_reused_port_counts_whatever_its_sequence_number(self):
+        self.flows.record_caller_packet(request(1, 900), b"", 0.1)
+        self.flows.record_target_packet(Packet(flow(1), has_data=True), 0.2)
+        self.flows.record_opening(flow(1), 5.0, sequence_number=100)
+        self.flows.record_target_packet(Packet(flow(1), has_data=True), 5.1)
+        self.flows.record_caller_packet(request(1, 101), b"", 5.2)
+        self.assertEqual(self.flows.in_flight(5.2), 1)
+
+
 class RepeatedPacketsTest(unittest.TestCase):
     def test_only_packets_that_await_an_answer_are_repeated(self):
         flows = TargetFlows()
