Simulate long flows on uneven targets

Cause: the model opens one flow for each request and has equal targets, so it shows nothing of callers that keep their flows for many requests.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -6,10 +6,14 @@
 import cyclopts
 import msgspec
 
+from bench.long_flows import (
+    LONG_FLOW_PATTERNS,
+    describe_long_flows,
+    simulate_long_flows,
+)
 from bench.surge import (
     PATTERNS,
     POLICIES,
-    Service,
     describe_outcome,
     simulate_pattern,
 )
@@ -19,22 +23,26 @@
 
 @app.default
 def run(
-    pattern: Annotated[Literal[tuple(PATTERNS)], cyclopts.Parameter("--pattern")],
+    pattern: Annotated[
+        Literal[tuple(PATTERNS | LONG_FLOW_PATTERNS)], cyclopts.Parameter("--pattern")
+    ],
     *,
     policy: Literal[tuple(POLICIES)] = "product",
     load: float | None = None,
     outage_s: float | None = None,
     stopped_targets: int | None = None,
-    targets: int = 7,
-    slots: int = 2,
-    balancers: int = 4,
-    mean_ms: float = 31.5,
-    objective_ms: float = 150,
-    timeout_ms: float = 1_200,
+    targets: int | None = None,
+    slots: int | None = None,
+    balancers: int | None = None,
+    mean_ms: float | None = None,
+    objective_ms: float | None = None,
+    timeout_ms: float | None = None,
     seeds: int = 3,
 ):
     """Print the outcome of a load pattern as one line of JSON.
 
+    Options that are not given keep the value that the pattern has.
+
     Parameters
     ----------
     pattern : str
@@ -54,19 +62,27 @@
     seeds : int
         Number of simulations, with the seeds from 1.
     """
-    service = Service(
-        targets=targets,
-        slots=slots,
-        balancers=balancers,
-        mean_s=mean_ms / 1000,
-        objective_s=objective_ms / 1000,
-        timeout_s=timeout_ms / 1000,
-    )
+    chosen = (PATTERNS | LONG_FLOW_PATTERNS)[pattern]
+    sizes = {
+        "targets": targets,
+        "slots": slots,
+        "balancers": balancers,
+        "mean_s": None if mean_ms is None else mean_ms / 1000,
+        "objective_s": None if objective_ms is None else objective_ms / 1000,
+        "timeout_s": None if timeout_ms is None else timeout_ms / 1000,
+    }
+    service = msgspec.structs.replace(chosen.service, **_without_none(sizes))
     changes = {"load": load, "outage_s": outage_s, "stopped_targets": stopped_targets}
-    changes = {name: value for name, value in changes.items() if value is not None}
-    chosen = msgspec.structs.replace(PATTERNS[pattern], service=service, **changes)
-    outcome = simulate_pattern(chosen, POLICIES[policy], range(1, seeds + 1))
-    print(json.dumps(describe_outcome(pattern, policy, outcome)))
+    chosen = msgspec.structs.replace(chosen, service=service, **_without_none(changes))
+    is_long = pattern in LONG_FLOW_PATTERNS
+    simulate = simulate_long_flows if is_long else simulate_pattern
+    describe = describe_long_flows if is_long else describe_outcome
+    outcome = simulate(chosen, POLICIES[policy], range(1, seeds + 1))
+    print(json.dumps(describe(pattern, policy, outcome)))
+
+
+def _without_none(options):
+    return {name: value for name, value in options.items() if value is not None}
 
 
 if __name__ == "__main__":
--- a/bench/surge.py
+++ b/bench/surge.py
@@ -48,6 +48,8 @@
     ----------
     targets, slots, balancers : int
         Number of targets, requests that each runs at a time, and number of balancers.
+    data_centres : int
+        Number of data centres, over which targets and balancers are spread evenly.
     mean_s : float
         Mean duration of a request at a target, in seconds.
     objective_s, timeout_s : float
@@ -57,6 +59,7 @@
     targets: int = 7
     slots: int = 2
     balancers: int = 4
+    data_centres: int = 1
     mean_s: float = 0.0315
     objective_s: float = 0.15
     timeout_s: float = 1.2
@@ -158,6 +161,12 @@
         not at all, or the caller used up its retries.
     busiest : float
         Requests started by the busiest target, relative to the mean of all targets.
+    refused : int
+        Requests that a target refused because its queue was full.
+    remote : int
+        Flows that were sent to another data centre.
+    longest_busy : float
+        Busy time of the target with the most of it, relative to the mean.
     """
 
     asked: int = 0
@@ -165,6 +174,9 @@
     late: int = 0
     failed: int = 0
     busiest: float = 0.0
+    refused: int = 0
+    remote: int = 0
+    longest_busy: float = 0.0
 
     @property
     def payoff(self):
@@ -178,11 +190,18 @@
         self.alive = True
         self.running = 0
         self.started_requests = 0
+        self.busy_s = 0.0
         self.queue = []
+        self.agent_number = 1
         # Changes when the process ends, so that events of an earlier run are ignored.
         self.run_number = 0
 
 
+def _max_to_mean(values):
+    values = list(values)
+    return max(values) * len(values) / sum(values)
+
+
 class LoadPatternSimulation:
     """Simulates one pattern under one policy.
 
@@ -208,6 +227,7 @@
             _SimulatedTarget(number) for number in range(pattern.service.targets)
         ]
         self._agents = {}
+        self._report_sequence = 0
         # By flow: time of the first attempt, number of earlier attempts, and the
         # state "opening", "open" or "over".
         self._requests = {}
@@ -238,10 +258,8 @@
         while self._events:
             now, _, function, args = heapq.heappop(self._events)
             function(now, *args)
-        started_requests = [target.started_requests for target in self._targets]
-        self.outcome.busiest = (
-            max(started_requests) * len(started_requests) / sum(started_requests)
-        )
+        self.outcome.busiest = _max_to_mean(t.started_requests for t in self._targets)
+        self.outcome.longest_busy = _max_to_mean(t.busy_s for t in self._targets)
         return self.outcome
 
     def _schedule(self, at, function, *args):
@@ -253,46 +271,59 @@
 
     def _start_processes(self, now):
         self._directories = [AgentDirectory() for _ in range(self._service.balancers)]
-        self._placements = [Placement("dc", d) for d in self._directories]
+        self._placements = [
+            Placement(self._data_centre(number), directory)
+            for number, directory in enumerate(self._directories)
+        ]
         for target in self._targets:
-            node = f"side-{target.number}"
-            own_candidate = Candidate(node, Address("10.0.0.1", target.number))
-            target_state, flows, queue = (
-                TargetState(SERVICE, 0.77),
-                TargetFlows(),
-                FlowQueue(),
-            )
-            target_state.apply_heartbeat(
-                TargetReport(
-                    f"i-{target.run_number}", SERVICE, 1, slots=self._service.slots
-                ),
-                now,
-            )
-            agent_router = AgentRouter(
-                own_candidate, SERVICE, target_state, flows, queue
-            )
-            self._agents[node] = (target, agent_router, flows, queue, own_candidate)
+            self._start_agent(now, target)
         self._send_reports(now)
 
+    def _data_centre(self, number):
+        return f"dc-{number % self._service.data_centres}"
+
+    def _start_agent(self, now, target):
+        node = f"side-{target.number}"
+        own_candidate = Candidate(node, Address("10.0.0.1", target.number))
+        target_state, flows, queue = (
+            TargetState(SERVICE, 0.77),
+            TargetFlows(),
+            FlowQueue(),
+        )
+        target_state.apply_heartbeat(
+            TargetReport(
+                f"i-{target.run_number}", SERVICE, 1, slots=self._service.slots
+            ),
+            now,
+        )
+        agent_router = AgentRouter(own_candidate, SERVICE, target_state, flows, queue)
+        self._agents[node] = (target, agent_router, flows, queue, own_candidate)
+
     def _send_reports(self, now):
-        for node, (target, agent_router, _, _, own_candidate) in self._agents.items():
-            self._report_sequence = getattr(self, "_report_sequence", 0) + 1
-            report = AgentReport(
-                node=node,
-                incarnation=1,
-                service=SERVICE,
-                data_centre="dc",
-                address=own_candidate.address,
-                open=agent_router.is_open(now),
-                load=agent_router.load(now),
-                slots=self._service.slots,
-                target=f"i-{target.number}",
-                draining=False,
-                sequence=self._report_sequence,
-            )
-            for directory, placement in zip(self._directories, self._placements):
-                directory.apply_report(report, now)
-                placement.liveness.heard(node)
+        for node in self._agents:
+            self._send_report(now, node)
+
+    def _send_report(self, now, node, gone=False):
+        target, agent_router, _, _, own_candidate = self._agents[node]
+        self._report_sequence += 1
+        report = AgentReport(
+            node=node,
+            # Changes when a target is replaced together with its agent.
+            incarnation=target.agent_number,
+            service=SERVICE,
+            data_centre=self._data_centre(target.number),
+            address=own_candidate.address,
+            open=agent_router.is_open(now),
+            load=agent_router.load(now),
+            slots=self._service.slots,
+            target=f"i-{target.number}-{target.agent_number}",
+            draining=False,
+            sequence=self._report_sequence,
+            gone=gone,
+        )
+        for directory, placement in zip(self._directories, self._placements):
+            directory.apply_report(report, now)
+            placement.liveness.heard(node)
 
     def _tick(self, now, number):
         if self._is_powered_off(now):
@@ -361,6 +392,8 @@
             return
         placement.record_agent(flow, decision.member.node)
         directory.count_flow(decision.member.node)
+        data_centre = self._data_centre(balancer_index)
+        self.outcome.remote += decision.member.data_centre != data_centre
         others = decision.others if self._policy.offers_between_agents else ()
         forwarded = ForwardedPacket(
             service=SERVICE,
@@ -450,20 +483,36 @@
             or run_number != target.run_number
         ):
             return
-        request = Packet(flow, has_data=True, sequence_number=1)
+        request = Packet(
+            flow, has_data=True, sequence_number=self._next_sequence_number(flow)
+        )
         flows.record_caller_packet(request, b"", now)
         if target.running < self._service.slots:
             self._start_request(now, node, flow)
         elif len(target.queue) < TARGET_QUEUE_LIMIT:
             target.queue.append(flow)
         else:
-            flows.record_target_packet(Packet(flow, has_data=True, ends=True), now)
+            self.outcome.refused += 1
+            flows.record_target_packet(self._answer(flow), now)
             self._schedule(now + 2 * CALLER_LATENCY_S, self._retry, flow)
 
+    def _next_sequence_number(self, flow):
+        return 1
+
+    def _answer(self, flow):
+        return Packet(flow, has_data=True, ends=True)
+
     def _start_request(self, now, node, flow):
         target = self._agents[node][0]
         target.running += 1
         target.started_requests += 1
+        processing_s = self._processing_s(now, target)
+        target.busy_s += processing_s
+        self._schedule(
+            now + processing_s, self._finish_request, node, flow, target.run_number
+        )
+
+    def _processing_s(self, now, target):
         log_mean = math.log(self._service.mean_s) - SERVICE_TIME_SIGMA**2 / 2
         processing_s = self._rng.lognormvariate(log_mean, SERVICE_TIME_SIGMA)
         power_restored_at = self._pattern.power_loss_at + self._pattern.outage_s
@@ -471,16 +520,14 @@
             processing_s *= self._pattern.recovery_factor
         if target.number == 0:
             processing_s *= self._pattern.slow_factor
-        self._schedule(
-            now + processing_s, self._finish_request, node, flow, target.run_number
-        )
+        return processing_s
 
     def _finish_request(self, now, node, flow, run_number):
         target, _, flows, _, _ = self._agents[node]
         if run_number != target.run_number:
             return
         target.running -= 1
-        flows.record_target_packet(Packet(flow, has_data=True, ends=True), now)
+        flows.record_target_packet(self._answer(flow), now)
         self._schedule(now + CALLER_LATENCY_S, self._record_answer, flow)
         if target.queue:
             self._start_request(now, node, target.queue.pop(0))
@@ -515,23 +562,26 @@
         )
 
 
-def simulate_pattern(pattern, policy, seeds=(1, 2, 3)):
-    """Return the `Outcome` over several seeds: counts added up, `busiest` averaged."""
+def simulate_pattern(
+    pattern, policy, seeds=(1, 2, 3), simulation_type=LoadPatternSimulation
+):
+    """Return the `Outcome` over several seeds: counts added up, ratios averaged."""
     total = Outcome()
     serve_in_arrival_order = mock.patch(
         "ryesaddle.internal.target.queue._service_order",
         lambda item, service_s, now: item.queued_at,
     )
     for seed in seeds:
-        simulation = LoadPatternSimulation(pattern, policy, seed)
+        simulation = simulation_type(pattern, policy, seed)
         if policy.in_time_first:
             outcome = simulation.run()
         else:
             with serve_in_arrival_order:
                 outcome = simulation.run()
-        for name in ("asked", "in_time", "late", "failed"):
+        for name in ("asked", "in_time", "late", "failed", "refused", "remote"):
             setattr(total, name, getattr(total, name) + getattr(outcome, name))
         total.busiest += outcome.busiest / len(seeds)
+        total.longest_busy += outcome.longest_busy / len(seeds)
     return total
 
 
