Let groups of new targets take flows at once

Cause: after a power loss all agents are new. Their forecasts counted as the median until 4 s after the start, and their speeds were unknown for 20 requests, while all callers opened their flows again.

Change: the median counts for new agents only while three quarters of the service have settled; an estimate counts from 10 requests on.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
 
 from bench.broken import run_broken
 from bench.datapath import run_datapath, run_flow_memory
+from bench.long_flows import run_long_flows
 from bench.passthrough import run_passthrough
 from bench.placement import LOADS, POLICIES, run_overload, run_placement
 from bench.processes import (
@@ -35,6 +36,7 @@
     "open_flows": run_open_flows,
     "changes": run_changes,
     "surge": run_surge,
+    "long_flows": run_long_flows,
     "passing": run_passthrough,
 }
 
--- a/bench/long_flows.py
+++ b/bench/long_flows.py
@@ -12,9 +12,11 @@
     CALLER_LATENCY_S,
     HOP_LATENCY_S,
     MAX_RETRIES,
+    POLICIES,
     SERVICE_ADDRESS,
     LoadPatternSimulation,
     Pattern,
+    Policy,
     Service,
     describe_outcome,
     simulate_pattern,
@@ -85,6 +87,15 @@
 }
 
 
+LONG_FLOW_POLICIES = {
+    "product": Policy(),
+    "no speeds": Policy(by_speed=False),
+    "no forecast": Policy(by_forecast=False),
+    "no speeds, no forecast": Policy(by_speed=False, by_forecast=False),
+    "hashing only": POLICIES["hashing only"],
+}
+
+
 class _Caller:
     def __init__(self):
         self.flow = None
@@ -307,3 +318,12 @@
         "longest_busy": round(outcome.longest_busy, 3),
         "remote_flows": outcome.remote,
     }
+
+
+def run_long_flows():
+    """Return one row for each pattern and policy."""
+    return [
+        describe_long_flows(name, policy_name, simulate_long_flows(pattern, policy))
+        for name, pattern in LONG_FLOW_PATTERNS.items()
+        for policy_name, policy in LONG_FLOW_POLICIES.items()
+    ]
--- a/bench/surge.py
+++ b/bench/surge.py
@@ -148,9 +148,6 @@
     "product": Policy(),
     "order of arrival": Policy(in_time_first=False),
     "no waiting at the agent": Policy(queue_at_agent=False),
-    "no speeds": Policy(by_speed=False),
-    "no forecast": Policy(by_forecast=False),
-    "no speeds, no forecast": Policy(by_speed=False, by_forecast=False),
     "no offers": Policy(offers_between_agents=False),
     "hashing only": Policy(
         offers_between_agents=False, balance_by_load=False, queue_at_agent=False
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -24,7 +24,9 @@
 JOINING_S = FORECAST_S
 # Reports arrive no more often. The medians of 100 agents take some 30 us.
 MEDIANS_MAX_AGE_S = REPORT_INTERVAL_S
-# Estimates that differ by less are taken for equal: they deviate by 8 to 12 %, which
+# If fewer have settled, the others share the new flows and replace what has gone.
+MIN_SETTLED_SHARE = 0.75
+# Estimates that differ by less are taken for equal: they deviate by 8 to 17 %, which
 # must not change the order of equal targets.
 EQUAL_WORK_FACTOR = 1.3
 # Below this median forecast, requests per slot, flows count as having one request each.
@@ -77,11 +79,15 @@
 
 
 class _Medians(msgspec.Struct, frozen=True):
-    """Medians over the agents of a service; 0 if no agent has reported a value."""
+    """Medians over the agents of a service; 0 if no agent has reported a value.
+
+    ``joining_forecast`` counts for agents that have just joined.
+    """
 
     computed_at: float
     work_s: float
     forecast: float
+    joining_forecast: float
 
 
 class AgentDirectory:
@@ -243,18 +249,21 @@
     def forecast(self, member, now):
         """Return the expected requests per slot from the open flows of an agent.
 
-        An agent that has joined within `JOINING_S`, or has no estimate of its work,
-        counts with the median of its service at least: its forecast does not show the
-        requests to come yet, or it is of an older version that reports none. All new
-        flows would go to it otherwise.
+        An agent that has joined within `JOINING_S`, unless many have, counts with the
+        median of its service at least, since its forecast does not show the requests
+        to come yet. So does one without an estimate of its work, which may be of an
+        older version that reports no forecast. All new flows would go to it otherwise.
         """
         agent = self._agents.get(member.node)
         if agent is None:
             return 0.0
-        if agent.work_s > 0 and now - agent.joined_at >= JOINING_S:
-            return agent.forecast
-        median = self._service_medians(member.service, now).forecast
-        return max(agent.forecast, median)
+        if now - agent.joined_at < JOINING_S:
+            median = self._service_medians(member.service, now).joining_forecast
+            return max(agent.forecast, median)
+        if agent.work_s == 0:
+            median = self._service_medians(member.service, now).forecast
+            return max(agent.forecast, median)
+        return agent.forecast
 
     def has_long_flows(self, service, now):
         """Whether the flows of a service bring several requests each."""
@@ -297,10 +306,13 @@
                 for agent in agents
                 if agent.work_s > 0 and now - agent.joined_at >= JOINING_S
             ]
+            forecast = _median([agent.forecast for agent in settled or agents])
+            is_settled = len(settled) >= MIN_SETTLED_SHARE * len(agents)
             medians = self._medians[service] = _Medians(
                 now,
                 _median([agent.work_s for agent in agents if agent.work_s > 0]),
-                _median([agent.forecast for agent in settled or agents]),
+                forecast,
+                forecast if is_settled else 0.0,
             )
         return medians
 
--- a/src/ryesaddle/internal/target/work_estimate.py
+++ b/src/ryesaddle/internal/target/work_estimate.py
@@ -5,8 +5,9 @@
 # The last 60 samples make up 95 % of the moving average. Durations of requests vary by
 # half of their mean, which leaves a deviation of 8 %.
 SMOOTHING = 0.05
-# The average of so many deviates by 12 %. With fewer, equal targets look unequal.
-MIN_SAMPLES = 20
+# The average of so many deviates by 17 %: enough to tell targets of half the speed
+# while many flows are opened at once, as after a power loss.
+MIN_SAMPLES = 10
 # A longer sample counts as this many times the average, so that a single pause of the
 # target's process does not make it look slow.
 MAX_SAMPLE_FACTOR = 4.0
