Test that estimates of agents reach the balancers

Cause: the model of long flows builds its own reports, so no test would notice an agent that does not send its estimates.

Change: a test with the product's agent, reporter and balancer.

Result: passes; fails if the reporter sends no work_s.

--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -1,12 +1,25 @@
 import unittest
 
 from ryesaddle.internal.address import Address
-from ryesaddle.internal.membership.directory import JOINING_S, AgentDirectory
+from ryesaddle.internal.membership.directory import (
+    JOINING_S,
+    MEDIANS_MAX_AGE_S,
+    AgentDirectory,
+)
 from ryesaddle.internal.routing.packet import Flow
 from ryesaddle.internal.routing.placement import LONG_FLOW_CANDIDATES, Placement
+from ryesaddle.internal.target.work_estimate import MIN_SAMPLES
 from ryesaddle.internal.wire.passthrough import AgentReport
+from tests.support.packets import packet
+from tests.support.passthrough import (
+    ACK,
+    FRONT,
+    SERVICE,
+    SYN,
+    PacketSimulation,
+    Target,
+)
 
-SERVICE = "case-desk"
 OPENED_AT = 2 * JOINING_S
 
 
@@ -139,3 +152,33 @@
             self.start(range(1, 13), best, work_s=0.03, load=0.9, forecast=forecast)
             share = self.count_choices(flows=600)["side-1"] / 600
             self.assertAlmostEqual(share, most / 12, delta=0.06)
+
+
+class ReportTest(unittest.TestCase):
+    """Estimates that do not reach the balancer would change no choice."""
+
+    def test_a_balancer_learns_how_long_requests_take_at_a_target(self):
+        world = PacketSimulation()
+        world.start_balancer(1)
+        for number, work_s in ((1, 0.03), (2, 0.03), (3, 0.09)):
+            target = Target(f"i-{number}", SERVICE)
+            world.start_agent(number, SERVICE, target)
+            world.heartbeat(number)
+            world.now += 2.0
+            world.report(number)
+            agent = world.agents[number][0]
+            for port in range(100 * number, 100 * number + 40):
+                caller = Address("100.64.0.7", port)
+                world.send(1, caller, SYN)
+                if Flow(caller, FRONT) in target.flows:
+                    world.send(1, caller, ACK, data=b"request")
+                    world.now += work_s
+                    answer = packet(FRONT, caller, ACK, 9, 0, b"answer")
+                    agent.on_target_packet(answer, None)
+            self.assertGreaterEqual(len(target.flows), MIN_SAMPLES)
+        for number in (1, 2, 3):
+            world.report(number)
+        world.now += MEDIANS_MAX_AGE_S
+        directory = world.balancers[1]._directory
+        works = [directory.relative_work(m, world.now) for m in directory.members()]
+        self.assertEqual([round(work, 1) for work in works], [1.0, 1.0, 3.0])
