--- a/src/ryesaddle/daemons/passthrough/run_agent.py
+++ b/src/ryesaddle/daemons/passthrough/run_agent.py
@@ -151,6 +151,8 @@
             "waiting": len(queue),
             "evacuated": router.evacuated,
             "service_s": round(flows.service_s, 4),
+            "work_s": round(router.work_s(loop.time()), 4),
+            "forecast": round(router.forecast(loop.time()), 2),
             "store_calls": store.calls,
             "store_era": store.era,
         }
--- a/src/ryesaddle/internal/target/router.py
+++ b/src/ryesaddle/internal/target/router.py
@@ -157,6 +157,14 @@
             return full / slots + wait_s / self._flows.service_s
         return (in_flight + len(self._queue)) / slots
 
+    def work_s(self, now):
+        """Return the expected time of a request at the target, 0 if not known."""
+        return self._flows.work_s(now)
+
+    def forecast(self, now):
+        """Return the expected requests in flight from open flows, per slot."""
+        return self._flows.forecast(now) / self._target_state.slots
+
     def has_capacity(self, now):
         """Whether one more flow may be sent to the target.
 
