--- a/src/ryesaddle/internal/routing/search.py
+++ b/src/ryesaddle/internal/routing/search.py
@@ -467,6 +467,8 @@
     @staticmethod
     def _expire_answers(search, now):
         """Give up answers that are late; return whether these were the last."""
+        if now - search.asked_at < ANSWER_TIMEOUT_S and not search.probed_node:
+            return False
         late = [n for n, at in search.queried.items() if now - at >= ANSWER_TIMEOUT_S]
         for node in late:
             # The next round asks this agent too.
--- a/tests/routing/test_passthrough.py
+++ b/tests/routing/test_passthrough.py
@@ -15,12 +15,16 @@
 )
 
 from ryesaddle.daemons.passthrough.agent import CHECK_INTERVAL_S, CONFIRMATION_DELAY_S
-from ryesaddle.daemons.passthrough.route_updater import RouteUpdater
+from ryesaddle.daemons.passthrough.route_updater import (
+    MAX_REMOVED_ROUTES,
+    RouteUpdater,
+)
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.membership.readiness_gate import ACK_TIMEOUT_S, ReadinessGate
 from ryesaddle.internal.routing.dispatcher import Dispatch
 from ryesaddle.internal.routing.packet import Flow
 from ryesaddle.internal.routing.placement import Placement
+from ryesaddle.internal.routing.route import RouteTable
 from ryesaddle.internal.routing.search import (
     ANSWER_TIMEOUT_S,
     COST_BURST_US,
@@ -97,6 +101,7 @@
         self.open = {}
         self.versions = [self.world.routes]
         self.knew_route = dict.fromkeys(BALANCERS, True)
+        self.disturbed = set()  # flows of which messages were lost
         self.ended = []  # flows whose target has ended
 
     @rule(balancer=balancers, copy=st.integers(0, 2))
@@ -126,6 +131,10 @@
                 # The packet may be queued until the agent confirms the flow, which it
                 # does in periodic checks.
                 self.world.pass_time(CONFIRMATION_DELAY_S + CHECK_INTERVAL_S)
+            if flow in self.disturbed and flow not in self.world.answers[before:]:
+                # A lookup or a probe was lost, so that the agents are asked again.
+                self.world.pass_time(2 * ANSWER_TIMEOUT_S + RETRY_INTERVAL_S)
+            self.disturbed.discard(flow)
             assert flow in self.world.answers[before:], f"{flow} was not delivered"
 
     def was_route_removed(self, balancer):
@@ -150,6 +159,7 @@
     )
     def send_while_messages_are_lost(self, balancer, index, lost):
         flow = list(self.open)[index % len(self.open)]
+        self.disturbed.add(flow)
         pattern = itertools.cycle(lost)
         self.world.is_lost = lambda source, to: next(pattern)
         _, resets = self.world.send(balancer, flow.caller)
@@ -391,6 +401,17 @@
         counts = world.balancers[1]._metrics.counts
         self.assertEqual(counts["balancer.returned.other-service"], 0)
 
+    def test_the_number_of_remembered_removed_routes_is_bounded(self):
+        updater = RouteUpdater("edge-1", None, 3.0)
+        route = routes().routes[0][1]
+        fronts = [Address("198.18.0.1", port) for port in range(1, 2_001)]
+        table = tuple((front, route) for front in fronts)
+        updater.install(RouteTable(1, table, 15.0), "test")
+        updater.install(RouteTable(2, table[:1], 15.0), "test")
+        removed = [front for front in fronts if updater.was_removed(front)]
+        self.assertEqual(len(removed), MAX_REMOVED_ROUTES)
+        self.assertNotIn(fronts[0], removed)
+
     def test_a_reset_of_a_flow_whose_route_was_never_known_is_detected(self):
         patch = mock.patch.object(RouteUpdater, "was_removed", lambda self, front: True)
         with patch, self.assertRaises(AssertionError):
