Count packets that a busy target returns late

Cause: in a trial on real processes (one balancer, 12 agents that had restarted, 200 flows of which one packet each was sent at once) the targets took longer than 20 ms to return the packets. One agent presumed, was taken for the holder, and 53 flows were not reset after 2.6 s, since their callers sent nothing more.

Change: an agent remembers the packets that its target has kept, and answers "absent" when one is returned late, unless another run of the target has started. A search whose holder is presumed is kept until its caller has been silent for 2 s, so that such an answer resets the flow. It goes on if the presumed agent is gone or silent.

--- a/src/ryesaddle/daemons/passthrough/balancer.py
+++ b/src/ryesaddle/daemons/passthrough/balancer.py
@@ -241,7 +241,7 @@
                 self._placement.forget(flow)
                 self._send_reset(waiting.packet, "held-nowhere")
             case PresumeHolder(node=node):
-                self._finish_search(flow, node, "presumed")
+                self._use_presumed_holder(flow, node, search)
             case Inconclusive(reason=reason):
                 self._metrics.count(f"balancer.search_retried.{reason}")
                 event(log, "search-continues", flow=flow, reason=reason)
@@ -359,6 +359,17 @@
         self._placement.liveness.heard(msg.node)
         self._finish_search(Flow(msg.caller, msg.front), msg.node, "located")
 
+    def _use_presumed_holder(self, flow, node, search):
+        member = self._directory.find(node)
+        self._placement.record_agent(flow, node)
+        # This and later packets of the flow do not wait for the search.
+        search.skipped.add(node)
+        event(log, "found", flow=flow, agent=node, reason="presumed")
+        # The target was sent the first packet with the lookup.
+        for waiting in search.packets[1:]:
+            self._send_to_agent(member, waiting.payload)
+        del search.packets[1:]
+
     def _finish_search(self, flow, node, reason):
         """Record the agent of a flow, and send it the packets that wait for that."""
         member = self._directory.find(node)
--- a/src/ryesaddle/internal/routing/search.py
+++ b/src/ryesaddle/internal/routing/search.py
@@ -64,6 +64,8 @@
         Agents whose target does not hold the flow, and that target.
     presumed : set of str
         Agents whose target runs and has not returned a packet of the flow.
+    presumed_holder : str
+        The agent that was taken for the holder; empty if there is none.
     silent : set of str
         Agents that did not answer a lookup in time and are due for a probe.
     unanswered : set of str
@@ -100,6 +102,7 @@
     targets: dict[str, str] = {}
     refused_by: dict[str, str] = {}
     presumed: set[str] = set()
+    presumed_holder: str = ""
     silent: set[str] = set()
     unanswered: set[str] = set()
     skipped: set[str] = set()
@@ -183,7 +186,8 @@
 class PresumeHolder(msgspec.Struct, frozen=True):
     """Only this agent's target can hold the flow, and it has not returned its packet.
 
-    The search is over.
+    The search asks no more agents. It goes on for a while, because a busy target may
+    return the packet late: no target holds the flow then.
     """
 
     node: str
@@ -234,6 +238,10 @@
             search = self._searches[packet.flow] = Search(started_at=now, asked_at=now)
             if len(self._searches) > MAX_SEARCHES:
                 self._abandoned.append(self._searches.popitem(last=False))
+        if search.presumed_holder:
+            # The agent is gone or silent, so that another one must be found.
+            search.presumed_holder = ""
+            search.presumed.clear()
         search.last_packet_at = now
         self._searches.move_to_end(packet.flow)
         if len(search.packets) < MAX_QUEUED_PACKETS:
@@ -347,7 +355,7 @@
         if members and not possible and complete:
             del self._searches[flow]
             return NotFound()
-        if now < search.retry_at:
+        if now < search.retry_at or search.presumed_holder:
             return AwaitAnswers()
         search.throttled = False
         if not search.first_round_over:
@@ -366,7 +374,8 @@
                 continue
             return self._probe(search, member, now)
         if len(possible) == 1 and possible[0].node in search.presumed:
-            return PresumeHolder(possible[0].node)
+            search.presumed_holder = possible[0].node
+            return PresumeHolder(search.presumed_holder)
         search.end_attempt()
         return Inconclusive("agents-silent" if possible else "agents-unknown")
 
@@ -387,7 +396,9 @@
             elif search.awaits_answer:
                 continue
             elif now - search.last_packet_at >= IDLE_SEARCH_TIMEOUT_S:
-                self._abandoned.append((flow, self._searches.pop(flow)))
+                del self._searches[flow]
+                if not search.presumed_holder:
+                    self._abandoned.append((flow, search))
             elif search.throttled:
                 throttled.append(flow)
             elif search.retry_at and now >= search.retry_at:
--- a/src/ryesaddle/internal/target/lookups.py
+++ b/src/ryesaddle/internal/target/lookups.py
@@ -11,6 +11,7 @@
 # receive buffer, and a packet lost there would look like one that it has kept.
 MAX_ASKED = 256
 MAX_WAITING = 4_096  # bounds memory: the payloads take at most 5 MB
+MAX_LATE = 4_096  # packets that a slow target may still return; bounds memory
 MAX_RESULT_FLOWS = 32  # an encoded flow takes 30 bytes; results fit into 1,200 bytes
 
 
@@ -33,6 +34,7 @@
         self._waiting = OrderedDict()
         self._asked = OrderedDict()
         self._flow_by_token = {}
+        self._late = OrderedDict()
         self._answers = defaultdict(list)
 
     def __len__(self):
@@ -83,9 +85,17 @@
 
     def record_return(self, token, flow):
         """Record that the target returned a packet; return whether it was a lookup."""
-        if token == 0 or self._flow_by_token.get(token) != flow:
+        if token != 0 and self._flow_by_token.get(token) == flow:
+            self.resolve(flow, "absent")
+            return True
+        # The return of a target that is busy, as many are after a power loss, replaces
+        # the earlier answer.
+        late_flow, balancers = self._late.get(token, (None, ()))
+        if late_flow != flow:
             return False
-        self.resolve(flow, "absent")
+        del self._late[token]
+        for balancer in balancers:
+            self.record_answer(flow, balancer, "absent")
         return True
 
     def resolve(self, flow, verdict):
@@ -127,11 +137,15 @@
             flow, lookup = next(iter(self._asked.items()))
             if now - lookup.asked_at < delay_s:
                 break
+            self._late[lookup.token] = (flow, lookup.balancers)
+            if len(self._late) > MAX_LATE:
+                self._late.popitem(last=False)
             self.resolve(flow, "presumed" if presumes else "unsure")
 
     def ask_again(self):
         """Ask about all flows again, because another run of the target has started."""
         self._flow_by_token.clear()
+        self._late.clear()
         self._waiting = OrderedDict((*self._asked.items(), *self._waiting.items()))
         self._asked.clear()
 
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -76,6 +76,26 @@
 
         await deployment.wait_until(is_reset)
 
+    async def test_lost_flows_are_reset_after_one_packet_of_each(self):
+        """Guards against a search that needs further packets of the caller.
+
+        The agents have restarted and cannot tell which flows their targets hold.
+        """
+        deployment = self.deployment
+        for host in deployment.agent_hosts:
+            deployment.kill(host)
+            deployment.start_process(host)
+        await deployment.open_flow(deployment.balancer_hosts[0])
+        to = deployment.at(deployment.balancer_hosts[0], "callers")
+        ports = [deployment.caller.new_port() for _ in range(20)]
+        for port in ports:
+            deployment.caller.send(
+                to, port, ACK, SERVICE_ADDRESSES["case-desk"], b"x", 9, 901
+            )
+        await deployment.wait_until(
+            lambda: all(deployment.caller.is_reset(port) for port in ports)
+        )
+
     async def test_status_and_metrics_are_served(self):
         deployment = self.deployment
         port = await deployment.open_flow(deployment.balancer_hosts[0])
--- a/tests/routing/test_search.py
+++ b/tests/routing/test_search.py
@@ -252,6 +252,29 @@
         self.assertTrue(self.searches.record_refusal(flow(), "side-2"))
         self.assertEqual(self.next_step(MEMBERS[:3]), PresumeHolder("side-1"))
 
+    def test_a_late_refusal_of_the_presumed_holder_ends_the_search(self):
+        """Busy targets returned packets late in a trial on real processes."""
+        self.add()
+        self.next_step(MEMBERS[:1])
+        self.searches.record_uncertain(flow(), "side-0")
+        self.next_step(MEMBERS[:1])
+        self.assertTrue(self.searches.record_presumed(flow(), "side-0"))
+        self.assertEqual(self.next_step(MEMBERS[:1]), PresumeHolder("side-0"))
+        self.assertEqual(self.next_step(MEMBERS[:1]), AwaitAnswers())
+        self.assertTrue(self.searches.record_refusal(flow(), "side-0"))
+        self.assertEqual(self.next_step(MEMBERS[:1]), NotFound())
+
+    def test_the_search_goes_on_if_the_presumed_holder_is_gone_or_silent(self):
+        """A packet is queued only if the agent of its flow is not known or alive."""
+        self.add()
+        self.next_step(MEMBERS[:1])
+        self.searches.record_uncertain(flow(), "side-0")
+        self.next_step(MEMBERS[:1])
+        self.searches.record_presumed(flow(), "side-0")
+        self.next_step(MEMBERS[:1])
+        self.add()
+        self.assertEqual(self.next_step(MEMBERS[:2]), LookUp(("side-0", "side-1")))
+
     def test_nothing_is_presumed_if_another_agent_presumes_too_or_cannot_tell(self):
         for record in (self.searches.record_presumed, self.searches.record_unanswered):
             self.add()
