--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -92,6 +92,13 @@
         self.checker.target_received("i-2", "pack-archive", syn_packet(), 1.0)
         self.assertEqual(self.invariants_violated(), ["route"])
 
+    def test_a_search_may_reach_a_target_of_another_service(self):
+        self.open_flow()
+        later = packet(CALLER, ADDRESS, ACK, 8)
+        self.checker.caller_sent(later, "balancer-1")
+        self.checker.target_received("i-2", "pack-archive", later, 1.0)
+        self.assertEqual(self.invariants_violated(), [])
+
 
 class DrainTest(CheckerCase):
     def test_a_new_flow_at_a_draining_target_is_detected_after_the_drain_period(self):
