Do not probe busy agents one after the other, nor trust a silent target

Change: a lookup may take 0.5 s; agents say in their reports that they answer lookups, and only others are probed. An unreturned packet of a probe counts only if the target appears to be alive, as with lookups.

--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -194,13 +194,18 @@
         if not self._lookups:
             return
         now = self._now()
-        # A crashed target returns nothing either, and is not taken for the holder.
-        presumes = not (
+        self._lookups.expire(now, CONFIRMATION_DELAY_S, self._target_appears_alive(now))
+        self._continue_lookups()
+
+    def _target_appears_alive(self, now):
+        """Whether it follows from a packet not returned that the target has kept it.
+
+        A target that has crashed, or has not started yet, returns nothing either.
+        """
+        return not (
             self._target_state.has_missed_heartbeats(now, MAX_MISSED_HEARTBEATS)
             or self._router.is_target_unresponsive(now)
         )
-        self._lookups.expire(now, CONFIRMATION_DELAY_S, presumes)
-        self._continue_lookups()
 
     def _send_lookup_results(self):
         self._lookup_results_due = False
@@ -287,7 +292,8 @@
             and now - self._pending_confirmations[0][0] >= CONFIRMATION_DELAY_S
         ):
             _, token, forwarded, flow = self._pending_confirmations.popleft()
-            if self._sent_packets.find(token) is not None:
+            is_kept = self._sent_packets.find(token) is not None
+            if is_kept and self._target_appears_alive(now):
                 self._flows.record_adopted(flow, now)
                 self._send_flow_location(forwarded, flow)
 
--- a/src/ryesaddle/daemons/passthrough/balancer.py
+++ b/src/ryesaddle/daemons/passthrough/balancer.py
@@ -242,7 +242,7 @@
             members = self._placement.rank_for_search(self._services(flow), flow, now)
         complete = self._directory.complete
         step = self._searches.next_step(
-            flow, members, complete, now, lambda m: self._placement.is_alive(m, now)
+            flow, members, complete, now, self._directory.answers_lookups
         )
         match step:
             case QueryAgents(nodes=nodes):
@@ -256,7 +256,7 @@
                 self._placement.forget(flow)
                 self._send_reset(waiting.packet, "held-nowhere")
             case PresumeHolder(node=node):
-                self._finish_search(flow, node, "presumed")
+                self._use_presumed_holder(flow, node, search)
             case Inconclusive(reason=reason):
                 self._metrics.count(f"balancer.search_retried.{reason}")
                 event(log, "search-continues", flow=flow, reason=reason)
@@ -304,7 +304,6 @@
     def _on_lookup_result(self, result, addr):
         node = result.node
         self._placement.liveness.heard(node)
-        self._searches.record_lookup_answer(node)
         for found in result.held:
             self._finish_search(Flow(found.caller, found.front), node, "held")
         for found in result.absent:
@@ -374,6 +373,17 @@
         self._placement.liveness.heard(msg.node)
         self._finish_search(Flow(msg.caller, msg.front), msg.node, "located")
 
+    def _use_presumed_holder(self, flow, node, search):
+        member = self._directory.find(node)
+        self._placement.record_agent(flow, node)
+        # This and later packets of the flow do not wait for the search.
+        search.skipped.add(node)
+        event(log, "found", flow=flow, agent=node, reason="presumed")
+        # The target was sent the first packet with the lookup.
+        for waiting in search.packets[1:]:
+            self._send_to_agent(member, waiting.payload)
+        del search.packets[1:]
+
     def _finish_search(self, flow, node, reason):
         """Record the agent of a flow, and send it the packets that wait for that."""
         member = self._directory.find(node)
--- a/src/ryesaddle/daemons/passthrough/reporter.py
+++ b/src/ryesaddle/daemons/passthrough/reporter.py
@@ -160,6 +160,7 @@
                 gone=gone,
                 work_s=round(self._router.work_s(now), 5),
                 forecast=round(self._router.forecast(now), 3),
+                answers_lookups=True,
             )
             self._messages.send_all(addresses, report)
 
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -79,6 +79,7 @@
     work_s: float = 0.0
     forecast: float = 0.0
     joined_at: float = -math.inf
+    answers_lookups: bool = True
 
 
 class _Medians(msgspec.Struct, frozen=True):
@@ -196,6 +197,7 @@
             work_s=report.work_s,
             forecast=report.forecast,
             joined_at=held.joined_at if _is_same_run(held, report) else now,
+            answers_lookups=report.answers_lookups,
         )
         self._agents[report.node] = agent
         if held is not None and (held.member, held.open) == (member, report.open):
@@ -230,6 +232,11 @@
         if agent is not None:
             self._invalidate_views(agent, agent.member)
 
+    def answers_lookups(self, node):
+        """Whether an agent understands `FlowLookup`; assumed until its first report."""
+        agent = self._agents.get(node)
+        return agent is None or agent.answers_lookups
+
     def count_flow(self, node):
         """Count a new flow towards an agent's load until its next report."""
         agent = self._agents.get(node)
--- a/src/ryesaddle/internal/routing/search.py
+++ b/src/ryesaddle/internal/routing/search.py
@@ -17,6 +17,9 @@
 # An agent normally answers within a few milliseconds. It waits up to 20 ms for its
 # target to return a packet of a flow that the target does not hold.
 ANSWER_TIMEOUT_S = 0.1
+# After a power loss an agent is asked for some thousand flows at once. At 0.65 of a
+# core it needs 0.2 ms for each of which it must ask its target.
+LOOKUP_TIMEOUT_S = 0.5
 # Agents that have not answered, or could not tell, are asked again at this interval,
 # which is the shortest after which a caller retransmits.
 RETRY_INTERVAL_S = 0.2
@@ -64,8 +67,8 @@
         Agents whose target does not hold the flow, and that target.
     presumed : set of str
         Agents whose target runs and has not returned a packet of the flow.
-    silent : set of str
-        Agents that did not answer a lookup in time and are due for a probe.
+    presumed_holder : str
+        The agent that was taken for the holder; empty if there is none.
     unanswered : set of str
         Agents that did not answer or could not tell. They are asked again later.
     skipped : set of str
@@ -100,7 +103,7 @@
     targets: dict[str, str] = {}
     refused_by: dict[str, str] = {}
     presumed: set[str] = set()
-    silent: set[str] = set()
+    presumed_holder: str = ""
     unanswered: set[str] = set()
     skipped: set[str] = set()
     queried: dict[str, float] = {}
@@ -136,16 +139,13 @@
     def is_settled(self, node):
         """Whether an agent needs no lookup in this attempt."""
         return (
-            node in self.refused_by
-            or node in self.presumed
-            or node in self.silent
-            or node in self.unanswered
+            node in self.refused_by or node in self.presumed or node in self.unanswered
         )
 
     def end_attempt(self):
         """Prepare the next attempt, which begins `RETRY_INTERVAL_S` after this one."""
         self.retry_at = max(self.asked_at, self.retry_at) + RETRY_INTERVAL_S
-        for nodes in (self.presumed, self.silent, self.unanswered):
+        for nodes in (self.presumed, self.unanswered):
             nodes.clear()
 
 
@@ -183,7 +183,8 @@
 class PresumeHolder(msgspec.Struct, frozen=True):
     """Only this agent's target can hold the flow, and it has not returned its packet.
 
-    The search is over.
+    The search asks no more agents. It goes on for a while, because a busy target may
+    return the packet late: no target holds the flow then.
     """
 
     node: str
@@ -216,7 +217,6 @@
         self._budget = TokenBucket(COST_PER_S_US, COST_BURST_US)
         self._probe_limiter = TokenBucket(PROBES_PER_S, PROBE_BURST)
         self._abandoned = []
-        self._answers_lookups = set()
 
     def __len__(self):
         return len(self._searches)
@@ -234,6 +234,10 @@
             search = self._searches[packet.flow] = Search(started_at=now, asked_at=now)
             if len(self._searches) > MAX_SEARCHES:
                 self._abandoned.append(self._searches.popitem(last=False))
+        if search.presumed_holder:
+            # The agent is gone or silent, so that another one must be found.
+            search.presumed_holder = ""
+            search.presumed.clear()
         search.last_packet_at = now
         self._searches.move_to_end(packet.flow)
         if len(search.packets) < MAX_QUEUED_PACKETS:
@@ -260,7 +264,7 @@
         search = self._searches.get(flow)
         if search is None:
             return False
-        for nodes in (search.presumed, search.silent, search.unanswered):
+        for nodes in (search.presumed, search.unanswered):
             nodes.discard(node)
         search.refused_by[node] = search.targets.get(node, target)
         return self._record_answer(search, node)
@@ -301,10 +305,6 @@
             search.presumed.add(node)
         return self._record_answer(search, node)
 
-    def record_lookup_answer(self, node):
-        """Record that an agent answers lookups, so that it is not probed."""
-        self._answers_lookups.add(node)
-
     def skip_agent(self, flow, node):
         """Ask the other agents first, because this one may be unreachable.
 
@@ -321,7 +321,9 @@
         """End the search for a flow; return its `Search`, or None if there was none."""
         return self._searches.pop(flow, None)
 
-    def next_step(self, flow, members, complete, now, is_alive=lambda member: True):
+    def next_step(
+        self, flow, members, complete, now, answers_lookups=lambda node: True
+    ):
         """Return the next step of a search, one of the structs in this module.
 
         Parameters
@@ -335,9 +337,9 @@
             Whether ``members`` is known to include every agent.
         now : float
             Seconds on a monotonic clock.
-        is_alive : callable
-            Whether an agent has been heard from lately. Agents that have not are not
-            taken for agents of an older version.
+        answers_lookups : callable
+            Whether an agent, given by its name, understands lookups. Agents of an
+            older version do not, and are probed instead.
         """
         search = self._searches[flow]
         if search.awaits_answer:
@@ -347,7 +349,7 @@
         if members and not possible and complete:
             del self._searches[flow]
             return NotFound()
-        if now < search.retry_at:
+        if now < search.retry_at or search.presumed_holder:
             return AwaitAnswers()
         search.throttled = False
         if not search.first_round_over:
@@ -355,18 +357,14 @@
             if first:
                 return self._query(search, first, now)
             search.first_round_over = True
-        if pending := [m for m in possible if not search.is_settled(m.node)]:
-            return self._look_up(search, pending, now)
-        for member in possible:
-            if member.node not in search.silent:
-                continue
-            if not self._is_older(member, is_alive):
-                search.silent.discard(member.node)
-                search.unanswered.add(member.node)
-                continue
-            return self._probe(search, member, now)
+        pending = [m for m in possible if not search.is_settled(m.node)]
+        if to_ask := [m for m in pending if answers_lookups(m.node)]:
+            return self._look_up(search, to_ask, now)
+        if pending:
+            return self._probe(search, pending[0], now)
         if len(possible) == 1 and possible[0].node in search.presumed:
-            return PresumeHolder(possible[0].node)
+            search.presumed_holder = possible[0].node
+            return PresumeHolder(search.presumed_holder)
         search.end_attempt()
         return Inconclusive("agents-silent" if possible else "agents-unknown")
 
@@ -387,7 +385,9 @@
             elif search.awaits_answer:
                 continue
             elif now - search.last_packet_at >= IDLE_SEARCH_TIMEOUT_S:
-                self._abandoned.append((flow, self._searches.pop(flow)))
+                del self._searches[flow]
+                if not search.presumed_holder:
+                    self._abandoned.append((flow, search))
             elif search.throttled:
                 throttled.append(flow)
             elif search.retry_at and now >= search.retry_at:
@@ -428,20 +428,11 @@
         number = search.probe_count
         if number >= UNTHROTTLED_PROBES and not self._probe_limiter.try_take(now):
             return self._throttle(search)
-        search.silent.discard(member.node)
         search.probed_node, search.probed_at = member.node, now
         search.packet_sent = True
         search.probe_count += 1
         return ProbeAgent(member.node, number)
 
-    def _is_older(self, member, is_alive):
-        """Whether an agent that did not answer a lookup may be of an older version."""
-        if member.node in self._answers_lookups:
-            # Only this answer may be lost. It is probed if the next is missing too.
-            self._answers_lookups.discard(member.node)
-            return False
-        return is_alive(member)
-
     @staticmethod
     def _record_asked(search, members, now):
         search.asked_count += len(members)
@@ -474,10 +465,10 @@
             # The next round asks this agent too.
             del search.queried[node]
         for node, at in list(search.looked_up.items()):
-            if now - at >= ANSWER_TIMEOUT_S:
+            if now - at >= LOOKUP_TIMEOUT_S:
                 late.append(node)
                 del search.looked_up[node]
-                search.silent.add(node)
+                search.unanswered.add(node)
         if search.probed_node and now - search.probed_at >= ANSWER_TIMEOUT_S:
             late.append(search.probed_node)
             search.unanswered.add(search.probed_node)
--- a/src/ryesaddle/internal/wire/passthrough.py
+++ b/src/ryesaddle/internal/wire/passthrough.py
@@ -134,6 +134,8 @@
         Expected time of a request that finds a free slot, in seconds; 0 if unknown.
     forecast : float
         Expected number of further requests in flight from open flows, per slot.
+    answers_lookups : bool
+        Whether the agent understands `FlowLookup`; older versions ignore it.
     """
 
     node: str
@@ -152,6 +154,7 @@
     gone: bool = False
     work_s: float = 0.0
     forecast: float = 0.0
+    answers_lookups: bool = False
 
 
 class AgentReportAck(msgspec.Struct, frozen=True, array_like=True, tag=5):
