--- a/tests/routing/test_passthrough.py
+++ b/tests/routing/test_passthrough.py
@@ -204,6 +204,13 @@
         with patch, self.assertRaises(AssertionError):
             run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
 
+    def test_state_machine_detects_a_reused_port_that_is_taken_for_a_copy(self):
+        patch = mock.patch.object(
+            TargetFlows, "is_copy", lambda self, packet, now: packet.flow in self
+        )
+        with patch, self.assertRaises(AssertionError):
+            run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
+
     def test_state_machine_detects_an_acknowledgement_that_is_not_recorded(self):
         patch = mock.patch.object(
             DrainRecord, "is_complete", lambda self, target, balancers: True
