--- a/tests/routing/test_draining.py
+++ b/tests/routing/test_draining.py
@@ -1,6 +1,7 @@
 """A target gets no new flow once its agent has acknowledged that it drains."""
 
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -8,6 +9,7 @@
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.membership.readiness_gate import ACK_TIMEOUT_S
 from ryesaddle.internal.target.report import TargetReport
+from ryesaddle.internal.target.state import TargetState
 from tests.support.passthrough import (
     OTHER_SERVICE,
     SERVICE,
@@ -190,6 +192,11 @@
         self.world.report(1)
         self.assertEqual(self.open_flows(), 0)
 
+    def test_a_restored_target_that_opens_unconfirmed_is_detected(self):
+        patch = mock.patch.object(TargetState, "is_certain", lambda self: True)
+        with patch, self.assertRaises(AssertionError):
+            self.test_a_lost_acknowledgement_does_not_lose_the_record()
+
     def test_the_next_agent_writes_the_entry_that_the_store_lacks(self):
         self.acknowledge_without_store()
         self.restart_agent()
--- a/tests/routing/test_passthrough.py
+++ b/tests/routing/test_passthrough.py
@@ -218,11 +218,6 @@
         with patch, self.assertRaises(AssertionError):
             run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
 
-    def test_state_machine_detects_a_restored_target_that_opens_unconfirmed(self):
-        patch = mock.patch.object(TargetState, "is_certain", lambda self: True)
-        with patch, self.assertRaises(AssertionError):
-            run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
-
     def test_state_machine_detects_an_agent_that_wrongly_claims_to_know_all_flows(self):
         patch = mock.patch.object(TargetFlows, "is_complete", lambda self, now: True)
         with patch, self.assertRaises(AssertionError):
