--- a/soak/injector.py
+++ b/soak/injector.py
@@ -16,8 +16,12 @@
 from tests.support.platform_deployment import SERVICE_ADDRESSES, configuration
 
 STOP_TIMEOUT_S = 6.0  # `graceS` in production
+DRAIN_ACK_TIMEOUT_S = 5.0  # longer than any other fault
+ACK_POLL_S = 0.002
 UNANSWERED_WRITES = 3  # writes per fault that the store does not answer
 DROPPED_SERVICE = "pack-archive"
+# The store loses this many seconds per unit of the amount, which is at most 0.3.
+LOST_S_PER_AMOUNT = 10.0
 
 
 class Injector:
@@ -33,6 +37,7 @@
         self._deployment = deployment
         self._network = deployment.network
         self._version = 1
+        self._configuration = configuration()
         self._active_store_faults = []
         self._pause_counts = {}
         self._restarting = set()
@@ -171,12 +176,34 @@
         if item.kind == "forget-history":
             await self._deployment.store_call("POST", "/forget", {})
             return
+        if item.kind == "go-back":
+            await self._set_back_store(item)
+            return
         self._active_store_faults.append(item.kind)
         await self._send_store_faults()
         await asyncio.sleep(item.for_s)
         self._active_store_faults.remove(item.kind)
         await self._send_store_faults()
 
+    async def _set_back_store(self, item):
+        """Make the store unavailable, then let it return from a copy some seconds old.
+
+        The operator writes the configuration again if it was lost.
+        """
+        self._active_store_faults.append("down")
+        await self._send_store_faults()
+        await asyncio.sleep(item.for_s)
+        async with self._configuration_lock:
+            lost_s = LOST_S_PER_AMOUNT * item.amount
+            await self._deployment.set_back_store(lost_s)
+            self._active_store_faults.remove("down")
+            await self._send_store_faults()
+            await self._put_configuration()
+
+    async def _put_configuration(self):
+        path = "/put/config/main"
+        await self._deployment.store_call("PUT", path, self._configuration)
+
     async def _send_store_faults(self):
         faults = {}
         for kind in self._active_store_faults:
@@ -199,8 +226,8 @@
         """Write the next configuration version, with routes for these services."""
         self._version += 1
         self._deployment.checker.configuration_written(self._version, services)
-        body = configuration(self._version, sorted(services))
-        await self._deployment.store_call("PUT", "/put/config/main", body)
+        self._configuration = configuration(self._version, sorted(services))
+        await self._put_configuration()
 
     # Targets
 
@@ -217,14 +244,33 @@
                 target.is_hung = True
                 await asyncio.sleep(item.for_s)
                 target.is_hung = False
-            case "target-drains":
-                if target.state == "draining":
-                    return
+            case "target-drains" if target.state != "draining":
                 target.drain()
                 # New flows may still arrive during the drain period, but not after it.
                 await asyncio.sleep(DRAIN_PERIOD_S + item.for_s)
                 await self._deregister(target)
                 target.restart()
+            case "target-drains-silently" if target.state != "draining":
+                await self._drain_silently(item, target)
+            case "agent-killed-after-drain" if target.state != "draining":
+                await self._drain_silently(item, target, kills_agent=True)
+
+    async def _drain_silently(self, item, target, kills_agent=False):
+        """Let a target drain, then be silent until it starts again.
+
+        With ``kills_agent``, its agent is killed as soon as it has acknowledged.
+        """
+        start_number, host = target.start_number, item.hosts[0]
+        target.drain(silently=True)
+        waited_s = 0.0
+        while not target.drain_acknowledged and waited_s < DRAIN_ACK_TIMEOUT_S:
+            await asyncio.sleep(ACK_POLL_S)
+            waited_s += ACK_POLL_S
+        if kills_agent and host not in self._restarting:
+            await self._restart_process(item, host, signal.SIGKILL)
+        await asyncio.sleep(DRAIN_PERIOD_S + item.for_s)
+        if target.start_number == start_number:
+            target.restart()
 
     async def _deregister(self, target):
         path = f"/ryesaddle/instances/{target.name}/deregister"
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -21,12 +21,18 @@
     "lose-answers",
     "late",
     "forget-history",
+    "go-back",
 )
 STORE_LINK_FAULTS = ("store-cut", "store-silent", "store-delay")
+DRAIN_FAULTS = (
+    "target-drains",
+    "target-drains-silently",
+    "agent-killed-after-drain",
+)
 TARGET_FAULTS = (
     "target-restarts",
     "target-restarts-same-name",
-    "target-drains",
+    *DRAIN_FAULTS,
     "target-hangs",
     "odd-heartbeats",
 )
@@ -53,7 +59,8 @@
     hosts : tuple of str
         The affected hosts; for a link its sender and its receiver.
     amount : float
-        For ``delay`` kinds the delay in seconds, for ``lose`` the share of packets.
+        For ``delay`` kinds the delay in seconds, for ``lose`` the share of packets,
+        for ``go-back`` a tenth of the time that the store loses, in seconds.
     """
 
     at_s: float
@@ -78,7 +85,7 @@
     rng = random.Random(seed)
     # One kind per group: a few frequent kinds show better how faults interact.
     kinds = [rng.choice(group) for group in KIND_GROUPS]
-    kinds.append(rng.choice(PROCESS_FAULTS))
+    kinds += [rng.choice(PROCESS_FAULTS), rng.choice(DRAIN_FAULTS)]
     plan, at = [], FIRST_FAULT_S
     end = FIRST_FAULT_S + faults_s
     while at < end:
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,6 +6,12 @@
 
 import msgspec
 
+from ryesaddle.daemons.passthrough.entry import list_entries
+from ryesaddle.daemons.passthrough.peers import BalancerEntry
+from ryesaddle.daemons.passthrough.process import BALANCER_KIND, TARGET_KIND
+from ryesaddle.internal.membership.directory import TargetEntry
+from ryesaddle.internal.store.client import StoreClient
+from ryesaddle.platform.objects import PlatformObjects
 from soak.deployment import SoakDeployment
 from soak.injector import Injector
 from soak.invariants import Violation
@@ -34,6 +40,8 @@
         Flows and requests of the sessions.
     packets_dropped : int
         Packets that the simulated network dropped.
+    reused_ports : int
+        Flows that were opened from the port of an earlier flow.
     """
 
     seed: int
@@ -44,6 +52,7 @@
     requests: int
     answered: int
     packets_dropped: int
+    reused_ports: int = 0
 
 
 class SoakRun:
@@ -110,6 +119,7 @@
                 for violation in violations_found
             ),
             packets_dropped=deployment.network.dropped,
+            reused_ports=deployment.caller.reused_ports,
             **self._traffic_counts,
         )
 
@@ -134,7 +144,7 @@
                 self._traffic_counts["answered"] += 1
                 await asyncio.sleep(rng.uniform(0.0, 0.4))
             if (port, service) not in self._long_lived_flows:
-                caller.end_flow(port, service)
+                await caller.end_flow(port, service)
 
     @staticmethod
     async def _stop_sessions(sessions):
@@ -151,7 +161,7 @@
         checks += [
             self._check_long_lived_flow(*flow) for flow in self._long_lived_flows
         ]
-        await asyncio.gather(*checks, self._check_agents_open())
+        await asyncio.gather(*checks, self._check_agents_open(), self._check_entries())
 
     async def _check_new_flow(self, number):
         """Check that a new flow is eventually served."""
@@ -192,6 +202,22 @@
                 "recovery", f"not all balancers see all agents as open: {statuses}"
             )
 
+    async def _check_entries(self):
+        """Check that the store holds the entry of every process."""
+        deployment = self._deployment
+        client = StoreClient(PlatformObjects(lambda: deployment.store), self._rng)
+        expected = {*deployment.balancer_hosts, *deployment.agent_hosts}
+
+        async def are_stored():
+            balancers = await list_entries(client, BALANCER_KIND, BalancerEntry)
+            targets = await list_entries(client, TARGET_KIND, TargetEntry)
+            return expected <= {*balancers, *targets}
+
+        try:
+            await deployment.wait_until(are_stored)
+        except TimeoutError:
+            self._record_violation("recovery", "the store lacks entries of processes")
+
     def _check_processes(self):
         for name, process in self._deployment.processes.items():
             if process.poll() is not None:
--- a/src/ryesaddle/daemons/passthrough/run_agent.py
+++ b/src/ryesaddle/daemons/passthrough/run_agent.py
@@ -35,6 +35,7 @@
 from ryesaddle.daemons.passthrough.reporter import Reporter
 from ryesaddle.daemons.passthrough.sockets import MessageSocket, PacketSocket
 from ryesaddle.errors import StoreError
+from ryesaddle.internal.address import Address
 from ryesaddle.internal.log import event, set_up_logging, warn
 from ryesaddle.internal.membership.directory import TargetEntry
 from ryesaddle.internal.metrics import Metrics
@@ -43,6 +44,7 @@
 from ryesaddle.internal.target.queue import FlowQueue
 from ryesaddle.internal.target.router import AgentRouter
 from ryesaddle.internal.target.state import TargetState
+from ryesaddle.internal.target.warm_up import WarmUpBudget
 from ryesaddle.internal.wire.passthrough import Candidate
 
 log = logging.getLogger(__name__)
@@ -56,7 +58,13 @@
 
 
 async def run_agent(
-    settings, bound_socket, packets, api, handle_target_request, ready_path
+    settings,
+    bound_socket,
+    packets,
+    api,
+    handle_target_request,
+    ready_path,
+    control=None,
 ):
     """Run the agent beside a target until it is told to stop.
 
@@ -75,6 +83,8 @@
         `HttpReply`.
     ready_path : str
         Path of the platform's readiness probes.
+    control : socket.socket, optional
+        Socket that already listens for the target's heartbeats.
     """
     loop = asyncio.get_running_loop()
     set_up_logging(settings.log_level, settings.node, loop)
@@ -84,15 +94,25 @@
     metrics = Metrics()
     store = StoreClient(api, rng, metrics=metrics)
     target_state = TargetState(settings.service, settings.heartbeat_ms / 1000)
+    target_state.restored_confirmed = False
     flows = TargetFlows(loop.time(), settings.flow_max_s)
     own_candidate = Candidate(settings.node, settings.peer)
     queue = FlowQueue()
-    router = AgentRouter(own_candidate, settings.service, target_state, flows, queue)
+    router = AgentRouter(
+        own_candidate,
+        settings.service,
+        target_state,
+        flows,
+        queue,
+        WarmUpBudget(loop.time()),
+    )
     router.known_to_balancers = False
     messages = MessageSocket(bound_socket, metrics)
     target_socket = PacketSocket(lambda data, addr: agent.on_target_packet(data, addr))
     reconciler = EntryReconciler(store, TARGET_KIND, settings.node, rng)
-    reporter = Reporter(settings, incarnation, target_state, router, messages)
+    reporter = Reporter(
+        settings, incarnation, target_state, router, messages, store.eras
+    )
     heartbeat_handler = HeartbeatHandler(
         settings, target_state, flows, reporter, reconciler, metrics
     )
@@ -109,6 +129,14 @@
         metrics,
     )
     heartbeat_handler.on_target_started = agent.verify_flows
+    new_era = asyncio.Event()
+
+    def on_new_era(former, era):
+        event(log, "store-era", era=era, before=former)
+        reconciler.renew()
+        new_era.set()
+
+    store.eras.subscribe(on_new_era)
 
     def status():
         return {
@@ -121,10 +149,12 @@
             "flows": len(flows),
             "load": round(router.load(loop.time()), 2),
             "waiting": len(queue),
+            "evacuated": router.evacuated,
             "service_s": round(flows.service_s, 4),
             "work_s": round(router.work_s(loop.time()), 4),
             "forecast": round(router.forecast(loop.time()), 2),
             "store_calls": store.calls,
+            "store_era": store.era,
         }
 
     admin = Admin(metrics, status, lambda caller: flows.describe(caller, loop.time()))
@@ -137,7 +167,11 @@
     server = HttpServer(handle)
     tasks = Supervisor()
     await target_socket.open(bind_udp(settings.outbound))
-    for address in {settings.ready, settings.control, settings.metrics}:
+    addresses = {settings.ready, settings.control, settings.metrics}
+    if control is not None:
+        await server.open(control)
+        addresses.discard(Address(*control.getsockname()))
+    for address in addresses:
         await server.open(bind_tcp(address))
     loading = asyncio.ensure_future(_load_balancers(store, reporter))
     tasks.start(_ask_seeds, loading, reporter, settings)
@@ -145,7 +179,7 @@
         [
             asyncio.ensure_future(
                 _restore_target(
-                    store, heartbeat_handler, reporter, reconciler, settings
+                    store, heartbeat_handler, reporter, reconciler, settings, loading
                 )
             ),
             asyncio.ensure_future(heartbeat_handler.target_known.wait()),
@@ -157,10 +191,11 @@
     event(log, "started", node=settings.node, role="agent", target=target_state.target)
     tasks.start(settings.run)
     tasks.start(reporter.run)
+    tasks.start(heartbeat_handler.run)
     tasks.start(agent.run)
     tasks.start(agent.watch)
     tasks.start(reconciler.run)
-    tasks.start(_complete, store, reporter, reconciler, loading)
+    tasks.start(_keep_complete, store, reporter, reconciler, loading, new_era)
     await stop.wait()
     event(log, "stopping", node=settings.node, flows=len(flows))
     router.draining = True
@@ -205,34 +240,46 @@
         return
 
 
-async def _restore_target(store, heartbeat_handler, reporter, reconciler, settings):
+async def _restore_target(
+    store, heartbeat_handler, reporter, reconciler, settings, loading
+):
     try:
         stored = await store.get(TARGET_KIND, settings.node, attempts=1)
         reconciler.assume_stored(stored)
-        if stored is None:
-            return
-        entry = msgspec.convert(stored.spec, TargetEntry)
+        entry = None if stored is None else msgspec.convert(stored.spec, TargetEntry)
     except (StoreError, msgspec.ValidationError) as exc:
         warn(log, "entry-not-read", kind=TARGET_KIND, reason=exc)
         return
-    if entry.service == settings.service and entry.address == settings.peer:
+    if (
+        entry is not None
+        and entry.service == settings.service
+        and entry.address == settings.peer
+    ):
         reporter.mark_registered()
         heartbeat_handler.restore_target(entry.target, entry.draining, "store")
+    # The balancers in the store may know of a draining that the entry does not tell.
+    await loading
+    reporter.mark_entry_read()
 
 
-async def _complete(store, reporter, reconciler, loading):
-    """List the balancers again if this process has written its own entry.
+async def _keep_complete(store, reporter, reconciler, loading, new_era):
+    """List the balancers again after this process has written its own entry.
 
     A balancer that was registered after the first list is either in the second one or
-    finds this agent's entry in its own list.
+    finds this agent's entry in its own list. In a new era of the store, all processes
+    register again.
     """
     loaded = await loading
-    await reconciler.in_sync.wait()
-    while reconciler.written or not loaded:
-        loaded = await _load_balancers(store, reporter)
-        if loaded:
-            return
-        await asyncio.sleep(RELIST_INTERVAL_S)
+    while True:
+        await reconciler.in_sync.wait()
+        while reconciler.written or not loaded:
+            loaded = await _load_balancers(store, reporter)
+            if loaded:
+                break
+            await asyncio.sleep(RELIST_INTERVAL_S)
+        await new_era.wait()
+        new_era.clear()
+        loaded = False
 
 
 async def _drain(flows, target_state, limit_s):
--- a/src/ryesaddle/internal/routing/placement.py
+++ b/src/ryesaddle/internal/routing/placement.py
@@ -35,18 +35,31 @@
         self._data_centre = data_centre
         self._directory = directory
         self._flows = FlowCache()
+        self._evacuated = frozenset()
         self.liveness = Liveness()
 
     def __len__(self):
         return len(self._flows)
 
-    def find(self, service, flow):
-        """Return the `Member` that a flow was last sent to, or None if unknown."""
+    def set_evacuated(self, data_centres):
+        """Place no new flows in these data centres from now on, only in others."""
+        self._evacuated = frozenset(data_centres)
+
+    def is_evacuated(self, service):
+        """Whether all targets of a service are in evacuated data centres."""
+        view = self._directory.view(service) if self._evacuated else None
+        if view is None:
+            return False
+        return all(m.data_centre in self._evacuated for m in view.members)
+
+    def find(self, flow):
+        """Return the `Member` that a flow was last sent to, or None if unknown.
+
+        Its service may be another one than the route gives now, because open flows
+        stay at their target when the configuration changes.
+        """
         node = self._flows.get(flow)
-        member = None if node is None else self._directory.find(node)
-        if member is None or member.service != service:
-            return None
-        return member
+        return None if node is None else self._directory.find(node)
 
     def record_agent(self, flow, node):
         """Cache the agent of a flow."""
@@ -79,8 +92,13 @@
         now : float
             Seconds on a monotonic clock.
         """
-        known = self.find(service, flow)
-        if known is not None and self.is_alive(known, now):
+        known = self.find(flow)
+        if (
+            known is not None
+            and known.service == service
+            and known.data_centre not in self._evacuated
+            and self.is_alive(known, now)
+        ):
             # An earlier copy of the packet is queued at that agent or in transit.
             self.liveness.expect_answer(known.node, now)
             return Dispatch(known, "cached")
@@ -91,7 +109,8 @@
         count = LONG_FLOW_CANDIDATES if is_long else MAX_CANDIDATES
         eligible = list(islice(alive, count * (copy + 1))) or ranked
         if not eligible:
-            return Discard("no-open-member")
+            evacuated = self.is_evacuated(service)
+            return Discard("evacuated" if evacuated else "no-open-member")
         first = (copy * count) % len(eligible)
         candidates = (eligible[first:] + eligible[:first])[:count]
         candidates.sort(key=lambda member: self._cost(member, now))
@@ -129,6 +148,30 @@
         ranked.sort(key=lambda m: not self.is_alive(m, now))
         return ranked
 
+    def rank_for_search(self, services, flow, now):
+        """Return the agents of all services, those most likely to hold a flow first.
+
+        Any agent may hold the flow, since the services of its route may have changed
+        after it was opened. Live agents precede silent ones.
+
+        Parameters
+        ----------
+        services : sequence of str
+            Services that the route of the flow gives now, that of new flows first;
+            empty if the route is not known.
+        flow : Flow
+            The flow.
+        now : float
+            Seconds on a monotonic clock.
+        """
+        ranked = [self._ranked_members(service, flow, False) for service in services]
+        # The first candidates of each service hold nearly all of its flows.
+        members = [m for r in ranked for m in r[:MAX_CANDIDATES]]
+        members += [m for r in ranked for m in r[MAX_CANDIDATES:]]
+        members += [m for m in self._directory.members() if m.service not in services]
+        members.sort(key=lambda m: not self.is_alive(m, now))
+        return members
+
     def is_alive(self, member, now):
         """Return whether an agent was heard from recently and is not suspect."""
         if self.liveness.is_suspect(member.node, now):
@@ -139,7 +182,11 @@
         view = self._directory.view(service)
         if view is None:
             return []
-        members = view.open_members if opens else view.members
+        members = view.members
+        if opens:
+            members = view.open_members
+            if self._evacuated:
+                members = [m for m in members if m.data_centre not in self._evacuated]
         return self._local_first(rank(flow_key(service, flow), members))
 
     def _local_first(self, ranked):
--- a/src/ryesaddle/internal/target/router.py
+++ b/src/ryesaddle/internal/target/router.py
@@ -93,6 +93,8 @@
         The flows at the target.
     queue : FlowQueue
         The new flows that wait for the target.
+    warm_up : WarmUpBudget, optional
+        Limits new flows while the target warms up.
 
     Attributes
     ----------
@@ -100,21 +102,38 @@
         Whether this agent is about to stop.
     known_to_balancers : bool
         Whether the balancers know this agent.
+    evacuated : bool
+        Whether the data centre of this agent is evacuated.
     """
 
-    def __init__(self, this_agent, service, target_state, flows, queue):
+    def __init__(self, this_agent, service, target_state, flows, queue, warm_up=None):
         self._this_agent = this_agent
         self._service = service
         self._target_state = target_state
         self._flows = flows
         self._queue = queue
+        self._warm_up = warm_up
         self._refused_until = 0.0
         self.draining = False
         self.known_to_balancers = True
+        self.evacuated = False
+
+    def set_evacuated(self, evacuated, now):
+        """Record whether the data centre of this agent is evacuated."""
+        if self.evacuated and not evacuated and self._warm_up is not None:
+            self._warm_up.presume_warming_up(now)
+        self.evacuated = evacuated
+
+    def set_warm_up_limit(self, balancer, per_s, now):
+        """Set the limit for a target that warms up, as a balancer has told it."""
+        if self._warm_up is not None:
+            self._warm_up.set_limit(balancer, per_s, now)
 
     def is_open(self, now):
         """Whether this agent accepts new flows."""
-        if self.draining or not self.known_to_balancers or now < self._refused_until:
+        if self.draining or self.evacuated or not self.known_to_balancers:
+            return False
+        if now < self._refused_until:
             return False
         if not self._target_state.is_open():
             return False
@@ -125,10 +144,18 @@
         return self._flows.unanswered_s(now) > UNRESPONSIVE_AFTER_S
 
     def load(self, now):
-        """Return the number of requests at the target or queued, per slot."""
-        return (
-            self._flows.in_flight(now) + len(self._queue)
-        ) / self._target_state.slots
+        """Return the number of requests at the target or queued, per slot.
+
+        A target that must get no further flow while it warms up counts as full. The
+        time that a flow would wait there is counted as the requests that a slot runs
+        in that time.
+        """
+        in_flight, slots = self._flows.in_flight(now), self._target_state.slots
+        if self._is_warm_up_limited(now):
+            wait_s = self._warm_up.expected_wait_s(len(self._queue))
+            full = max(in_flight, slots + OVERCOMMIT_FLOWS)
+            return full / slots + wait_s / self._flows.service_s
+        return (in_flight + len(self._queue)) / slots
 
     def work_s(self, now):
         """Return the expected time of a request at the target, 0 if not known."""
@@ -144,6 +171,8 @@
         The request of a new flow arrives one round trip after its opening packet. To
         keep all slots busy, a few more flows than slots are sent.
         """
+        if self._is_warm_up_limited(now):
+            return False
         return self._flows.in_flight(now) < self._target_state.slots + OVERCOMMIT_FLOWS
 
     def decide(self, forwarded, packet, now):
@@ -158,12 +187,25 @@
         now : float
             Seconds on a monotonic clock.
         """
-        if forwarded.service != self._service:
+        decision = self._decide(forwarded, packet, now)
+        if packet.opens and isinstance(decision, Deliver):
+            self._record_opening(now)
+        return decision
+
+    def _decide(self, forwarded, packet, now):
+        # The service restricts new flows only. An open flow may be held by this target
+        # whatever the balancer believes about the service of this agent.
+        if packet.opens and forwarded.service != self._service:
             return self._return_to_balancer(forwarded, "other-service")
-        if packet.flow in self._flows:
+        if packet.opens:
+            if self._flows.is_copy(packet, now):
+                return Deliver("held")
+        elif packet.flow in self._flows:
             return Deliver("held")
-        if not packet.opens:
-            return self._decide_unknown_flow(forwarded, now)
+        elif self.is_absent(now):
+            return self._return_to_balancer(forwarded, "not-held")
+        else:
+            return Deliver("asked")
         if packet.flow in self._queue:
             return Enqueue("waits")
         if not self.is_open(now):
@@ -175,17 +217,9 @@
             return Deliver("free", notify_balancer)
         return self._offer_to_next(forwarded, packet, notify_balancer, now)
 
-    def is_absent(self, service, now):
-        """Whether the target certainly does not hold a flow that is not known here.
-
-        Parameters
-        ----------
-        service : str
-            Service of the flow.
-        now : float
-            Seconds on a monotonic clock.
-        """
-        return service != self._service or self._flows.is_complete(now)
+    def is_absent(self, now):
+        """Whether the target certainly does not hold a flow that is not known here."""
+        return self._flows.is_complete(now)
 
     def record_refusal(self, now):
         """Record that the target refused an opening packet: it is full or has ended.
@@ -207,12 +241,23 @@
         """Return the next queued flow for the target and its `QueuedFlow`, or None."""
         if not self.is_open(now) or not self.has_capacity(now):
             return None
-        return self._queue.pop_next(self._flows.service_s, now)
+        found = self._queue.pop_next(self._flows.service_s, now)
+        if found is not None:
+            self._record_opening(now)
+        return found
 
-    def _decide_unknown_flow(self, forwarded, now):
-        if self.is_absent(forwarded.service, now):
-            return self._return_to_balancer(forwarded, "not-held")
-        return Deliver("asked")
+    def _record_opening(self, now):
+        if self._warm_up is not None:
+            self._warm_up.record_opening(now)
+
+    def _is_warm_up_limited(self, now):
+        if self._warm_up is None:
+            return False
+        report, warm_up_until = self._target_state.last_report, None
+        if report is not None:
+            warm_up_until = self._target_state.last_heartbeat_at + report.warm_up_s
+        knows_all_flows = self._flows.is_complete(now)
+        return self._warm_up.is_used_up(warm_up_until, knows_all_flows, now)
 
     def _deliver_or_queue(self, forwarded, packet, notify_balancer, now):
         if self.has_capacity(now):
--- a/src/ryesaddle/platform/role.py
+++ b/src/ryesaddle/platform/role.py
@@ -12,7 +12,13 @@
     PassthroughBalancerSettings,
 )
 from ryesaddle.errors import SettingsError, StoreUnavailableError
-from ryesaddle.platform.configuration import KIND, NAME, read_routes
+from ryesaddle.platform.configuration import (
+    EVACUATION_KIND,
+    KIND,
+    NAME,
+    read_evacuations,
+    read_routes,
+)
 from ryesaddle.platform.heartbeat import HEARTBEAT, read_heartbeat, read_path
 from ryesaddle.platform.objects import PlatformObjects
 from ryesaddle.platform.packet import PlatformPackets
@@ -21,7 +27,7 @@
 SETTINGS_VARIABLE = "RYESADDLE_SETTINGS"
 
 
-def run(role, bound_socket):
+def run(role, bound_socket, control=None):
     """Run a process of a role until it is signalled to stop.
 
     Parameters
@@ -30,6 +36,8 @@
         ``balancer`` or ``agent``.
     bound_socket : socket.socket
         UDP socket for callers' packets (balancer) or for messages (agent).
+    control : socket.socket, optional
+        Socket that listens for the target's heartbeats (agent).
     """
     path = os.environ[SETTINGS_VARIABLE]
     # Each role imports only what it needs: callers wait while a process starts.
@@ -44,6 +52,7 @@
                 PlatformPackets(),
                 PlatformObjects(lambda: settings.store),
                 _read_configuration,
+                _read_evacuations,
                 READY_PATH,
             )
         else:
@@ -57,6 +66,7 @@
                 PlatformObjects(lambda: settings.store),
                 _handle_target_request,
                 READY_PATH,
+                control,
             )
     except SettingsError as exc:
         sys.exit(f"error: {exc}")
@@ -73,6 +83,11 @@
     return table
 
 
+async def _read_evacuations(store):
+    objects, version = await store.list(EVACUATION_KIND, attempts=1)
+    return read_evacuations(objects, version, store.era)
+
+
 def _handle_target_request(heartbeats, req):
     parsed = read_path(req.path)
     if parsed is None or req.method != "POST":
--- a/tests/routing/test_passthrough.py
+++ b/tests/routing/test_passthrough.py
@@ -1,5 +1,6 @@
 """Packet forwarding by balancers that start without state; targets hold the flows."""
 
+import itertools
 import unittest
 from unittest import mock
 
@@ -7,19 +8,36 @@
 from hypothesis import Phase, settings, strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
+    invariant,
     precondition,
     rule,
     run_state_machine_as_test,
 )
 
 from ryesaddle.daemons.passthrough.agent import CHECK_INTERVAL_S, CONFIRMATION_DELAY_S
+from ryesaddle.daemons.passthrough.route_updater import (
+    MAX_REMOVED_ROUTES,
+    RouteUpdater,
+)
 from ryesaddle.internal.address import Address
+from ryesaddle.internal.membership.drain_record import DrainRecord
 from ryesaddle.internal.membership.readiness_gate import ACK_TIMEOUT_S, ReadinessGate
+from ryesaddle.internal.routing.dispatcher import Dispatch
 from ryesaddle.internal.routing.packet import Flow
-from ryesaddle.internal.routing.search import ANSWER_TIMEOUT_S, PROBE_BURST, Searches
-from ryesaddle.internal.target.flows import TargetFlows
+from ryesaddle.internal.routing.placement import Placement
+from ryesaddle.internal.routing.route import RouteTable
+from ryesaddle.internal.routing.search import (
+    ANSWER_TIMEOUT_S,
+    COST_BURST_US,
+    PROBE_BURST,
+    RETRY_INTERVAL_S,
+    Searches,
+)
+from ryesaddle.internal.target.flows import COPY_PERIOD_S, TargetFlows
+from ryesaddle.internal.target.lookups import FlowLookups
 from ryesaddle.internal.target.router import OVERCOMMIT_FLOWS
 from ryesaddle.internal.target.state import TargetState
+from ryesaddle.internal.wire.passthrough import FlowLookup
 from tests.support.packets import ACK, packet, returned
 from tests.support.passthrough import (
     FRONT,
@@ -29,6 +47,7 @@
     SYN,
     PacketSimulation,
     Target,
+    routes,
 )
 
 BALANCERS = (1, 2)
@@ -38,7 +57,16 @@
     max_examples=10_000, stateful_step_count=40, phases=[Phase.generate]
 )
 balancers = st.sampled_from(BALANCERS)
-agents = st.sampled_from(AGENTS)
+agents = st.sampled_from((*AGENTS, 5))
+services = st.sampled_from((SERVICE, OTHER_SERVICE))
+# Services and weights of the route; none if the route is absent.
+ROUTE_SHARES = (
+    ((SERVICE, 1.0),),
+    ((OTHER_SERVICE, 1.0),),
+    ((SERVICE, 1.0), (OTHER_SERVICE, 3.0)),
+    ((SERVICE, 3.0), (OTHER_SERVICE, 1.0)),
+    (),
+)
 
 
 def caller(number):
@@ -65,14 +93,31 @@
     def __init__(self):
         super().__init__()
         self.world = started(1, 2)
+        self.world.start_agent(3, OTHER_SERVICE, Target("i-3", OTHER_SERVICE))
+        self.world.heartbeat(3)
+        self.world.now += 2.0
+        self.world.report(3)
         self.flows = 0
         self.targets = 10
         self.open = {}
+        self.closed = []
+        self.versions = [self.world.routes]
+        self.knew_route = dict.fromkeys(BALANCERS, True)
+        self.disturbed = set()  # flows of which messages were lost
+        self.ended = []  # flows whose target has ended
 
     @rule(balancer=balancers, copy=st.integers(0, 2))
     def open_flow(self, balancer, copy):
         self.flows += 1
-        address = caller(self.flows)
+        self.send_opening_packet(balancer, caller(self.flows), copy)
+
+    @precondition(lambda self: self.closed)
+    @rule(balancer=balancers, index=st.integers(0, 30))
+    def reuse_port(self, balancer, index):
+        flow = self.closed.pop(index % len(self.closed))
+        self.send_opening_packet(balancer, flow.caller)
+
+    def send_opening_packet(self, balancer, address, copy=0):
         self.world.send(balancer, address, SYN, copy=copy)
         flow = Flow(address, FRONT)
         target = self.world.target_of(flow)
@@ -85,14 +130,38 @@
         flow = list(self.open)[index % len(self.open)]
         before = len(self.world.answers)
         _, resets = self.world.send(balancer, flow.caller)
+        if resets and self.was_route_removed(balancer):
+            metrics = self.world.balancers[balancer]._metrics
+            assert metrics.counts["balancer.reset.held-nowhere"] == 0
+            self.open.pop(flow).flows.discard(flow)
+            return
         assert not resets, f"{flow} was reset although its target holds it"
         if not self.has_unreachable_target():
             if flow not in self.world.answers[before:]:
                 # The packet may be queued until the agent confirms the flow, which it
                 # does in periodic checks.
                 self.world.pass_time(CONFIRMATION_DELAY_S + CHECK_INTERVAL_S)
+            if flow in self.disturbed and flow not in self.world.answers[before:]:
+                # A lookup, a probe or its answer was lost, also with an agent that has
+                # restarted, so that the agents are asked again.
+                self.world.pass_time(2 * ANSWER_TIMEOUT_S + RETRY_INTERVAL_S)
+            self.disturbed.discard(flow)
             assert flow in self.world.answers[before:], f"{flow} was not delivered"
 
+    def was_route_removed(self, balancer):
+        """Whether a balancer has seen a version that removed the route."""
+        has_route = self.world.route_updaters[balancer].routes.find(FRONT) is not None
+        return self.knew_route[balancer] and not has_route
+
+    def record_interrupted_searches(self):
+        for balancer in self.world.balancers.values():
+            searches = balancer._searches
+            self.disturbed.update(
+                flow
+                for flow in self.open
+                if flow in searches and searches[flow].awaits_answer
+            )
+
     def has_unreachable_target(self):
         known = {n for n, _ in self.world.agents.items()}
         return any(target not in self.holders() for target in self.open.values()) or (
@@ -102,37 +171,130 @@
     def holders(self):
         return [target for _, target in self.world.agents.values()]
 
+    @precondition(lambda self: self.open)
+    @rule(
+        balancer=balancers,
+        index=st.integers(0, 30),
+        lost=st.lists(st.booleans(), min_size=5, max_size=20),
+    )
+    def send_while_messages_are_lost(self, balancer, index, lost):
+        flow = list(self.open)[index % len(self.open)]
+        self.disturbed.add(flow)
+        pattern = itertools.cycle(lost)
+        self.world.is_lost = lambda source, to: next(pattern)
+        _, resets = self.world.send(balancer, flow.caller)
+        self.world.is_lost = lambda source, to: False
+        if self.was_route_removed(balancer) and resets:
+            self.open.pop(flow).flows.discard(flow)
+
+    @precondition(lambda self: self.ended)
+    @rule(balancer=balancers, index=st.integers(0, 30))
+    def send_on_ended_flow(self, balancer, index):
+        self.world.send(balancer, self.ended[index % len(self.ended)].caller)
+
+    @invariant()
+    def no_open_flow_is_reset(self):
+        """Searches continue between the packets of callers."""
+        for flow in self.world.resets:
+            assert flow not in self.open, f"{flow} was reset although it is held"
+
+    @rule(number=agents)
+    def crash_target(self, number):
+        if number in self.world.agents:
+            target = self.world.agents[number][1]
+            target.crashed = True
+            target.flows.clear()
+            ended = [flow for flow, held in self.open.items() if held is target]
+            for flow in ended:
+                del self.open[flow]
+            self.ended.extend(ended)
+
+    @rule(number=agents, heard=st.booleans())
+    def start_next_target(self, number, heard):
+        """Start another target beside the agent of one that has crashed."""
+        if number in self.world.agents:
+            agent, target = self.world.agents[number]
+            if target.crashed:
+                self.targets += 1
+                started = Target(f"i-{self.targets}", target.service)
+                self.world.agents[number] = (agent, started)
+                if heard:
+                    self.world.heartbeat(number)
+
     @precondition(lambda self: self.open)
     @rule(index=st.integers(0, 30))
     def close_flow(self, index):
         flow = list(self.open)[index % len(self.open)]
         self.open.pop(flow).flows.discard(flow)
+        self.closed.append(flow)
 
-    @rule(number=agents, informed=st.sets(balancers), confirmed=st.booleans())
-    def add_agent(self, number, informed, confirmed):
-        if number in self.world.agents:
+    @rule(shares=st.sampled_from(ROUTE_SHARES), informed=st.sets(balancers))
+    def change_routes(self, shares, informed):
+        self.world.routes = routes(self.versions[-1].version + 1, shares)
+        self.versions.append(self.world.routes)
+        for number in informed:
+            self.update_routes(number)
+
+    @rule(number=balancers)
+    def update_routes(self, number):
+        self.install(number, self.world.routes)
+
+    def install(self, number, table):
+        self.world.route_updaters[number].install(table, "test")
+        self.knew_route[number] |= table.find(FRONT) is not None
+
+    @rule(
+        number=agents,
+        service=services,
+        informed=st.sets(balancers),
+        confirmed=st.booleans(),
+    )
+    def add_agent(self, number, service, informed, confirmed):
+        """Add an agent, or assign the host of a target without flows to a service."""
+        if number in self.world.agents and self.world.agents[number][1].flows:
             return
         self.targets += 1
-        target = Target(f"i-{self.targets}", SERVICE)
+        target = Target(f"i-{self.targets}", service)
         silent = {f"10.0.1.{n}" for n in BALANCERS if n not in informed}
         self.world.is_lost = lambda source, to: to.host in silent
-        self.world.start_agent(number, SERVICE, target)
+        self.world.start_agent(number, service, target)
         self.world.heartbeat(number)
         self.world.is_lost = lambda source, to: False
         if confirmed:
             self.world.report(number)
 
-    @rule(number=agents)
-    def restart_agent(self, number):
+    @rule(number=agents, unreachable=st.sampled_from([None, *BALANCERS]))
+    def restart_agent(self, number, unreachable):
         if number in self.world.agents:
+            self.record_interrupted_searches()
             _, target = self.world.agents[number]
-            self.world.start_agent(number, SERVICE, target)
+            self.world.is_lost = self.lost_messages({unreachable})
+            self.world.start_agent(number, target.service, target)
+            self.world.is_lost = lambda source, to: False
 
     @rule(number=agents)
     def drain(self, number):
-        if number in self.world.agents:
+        if number in self.world.agents and not self.world.agents[number][1].crashed:
             self.world.agents[number][1].draining = True
+            assert self.world.heartbeat(number).result(0) == 200
+
+    @rule(number=agents, unreachable=st.sets(balancers))
+    def kill_agent_after_draining_heartbeat(self, number, unreachable):
+        """The store is unavailable, and the target stays silent afterwards."""
+        if number in self.world.agents and not self.world.agents[number][1].crashed:
+            _, target = self.world.agents[number]
+            self.world.store_is_down = True
+            self.world.is_lost = self.lost_messages(unreachable)
+            target.draining = True
             self.world.heartbeat(number)
+            self.world.is_lost = lambda source, to: False
+            self.world.store_is_down = False
+            self.record_interrupted_searches()
+            self.world.start_agent(number, target.service, target)
+
+    def lost_messages(self, unreachable):
+        hosts = {f"10.0.1.{number}" for number in unreachable}
+        return lambda source, to: source.host in hosts or to.host in hosts
 
     @rule(number=agents)
     def remove_agent_without_flows(self, number):
@@ -141,9 +303,12 @@
             if target.draining and not target.flows and len(self.world.agents) > 1:
                 self.world.stop_agent(number)
 
-    @rule(number=balancers)
-    def restart_balancer(self, number):
-        self.world.start_balancer(number)
+    @rule(number=balancers, age=st.integers(0, 2))
+    def restart_balancer(self, number, age):
+        """Restart a balancer with the newest version or one of the two before it."""
+        table = self.versions[max(0, len(self.versions) - 1 - age)]
+        self.world.start_balancer(number, table)
+        self.knew_route[number] = table.find(FRONT) is not None
 
     @rule(number=agents)
     def report(self, number):
@@ -174,11 +339,173 @@
         with patch, self.assertRaises(AssertionError):
             run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
 
+    def test_state_machine_detects_an_acknowledgement_that_is_not_recorded(self):
+        patch = mock.patch.object(
+            DrainRecord, "is_complete", lambda self, target, balancers: True
+        )
+        with patch, self.assertRaises(AssertionError):
+            run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
+
+    def test_state_machine_detects_a_restored_target_that_opens_unconfirmed(self):
+        patch = mock.patch.object(TargetState, "is_certain", lambda self: True)
+        with patch, self.assertRaises(AssertionError):
+            run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
+
     def test_state_machine_detects_an_agent_that_wrongly_claims_to_know_all_flows(self):
         patch = mock.patch.object(TargetFlows, "is_complete", lambda self, now: True)
         with patch, self.assertRaises(AssertionError):
             run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
 
+    def test_state_machine_detects_a_search_in_the_services_of_the_route_only(self):
+        def rank_for_search(self, services, flow, now):
+            return [m for s in services for m in self.rank_agents(s, flow, False, now)]
+
+        patch = mock.patch.object(Placement, "rank_for_search", rank_for_search)
+        with patch, self.assertRaises(AssertionError):
+            run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
+
+    def test_state_machine_detects_a_missing_answer_that_counts_as_a_refusal(self):
+        def expire_answers(search, now):
+            due = original(search, now)
+            for node in search.silent:
+                search.refused_by[node] = search.targets[node]
+            return due
+
+        original = Searches._expire_answers
+        mutation = staticmethod(expire_answers)
+        patch = mock.patch.object(Searches, "_expire_answers", mutation)
+        with patch, self.assertRaises(AssertionError):
+            run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
+
+    def test_state_machine_detects_a_target_whose_silence_counts_as_a_refusal(self):
+        def expire(self, now, delay_s, presumes):
+            for flow in list(self._asked):
+                self.resolve(flow, "absent")
+
+        patch = mock.patch.object(FlowLookups, "expire", expire)
+        with patch, self.assertRaises(AssertionError):
+            run_state_machine_as_test(PassthroughMachine, settings=MUTATION_SETTINGS)
+
+
+class ConfigurationChangeTest(unittest.TestCase):
+    """Open flows after a change of the configuration.
+
+    On trouble-1 of the tender portal 176 open flows were reset while their target
+    served them, the first 0.4 s after a change of weights.
+    """
+
+    def opened(self):
+        world = started(1, 2)
+        world.start_agent(3, OTHER_SERVICE, Target("i-3", OTHER_SERVICE))
+        world.heartbeat(3)
+        world.now += 2
+        world.report(3)
+        flows = [Flow(caller(number), FRONT) for number in range(6)]
+        for flow in flows:
+            world.send(1, flow.caller, SYN)
+        return world, flows
+
+    def assert_flows_stay(self, world, flows, balancer):
+        for flow in flows:
+            self.assertEqual(world.send(balancer, flow.caller), ([flow], []))
+
+    def test_open_flows_stay_when_shares_change(self):
+        for shares in ROUTE_SHARES[1:4]:
+            with self.subTest(shares):
+                world, flows = self.opened()
+                for balancer in BALANCERS:
+                    updater = world.route_updaters[balancer]
+                    updater.install(routes(2, shares), "test")
+                    self.assert_flows_stay(world, flows, balancer)
+
+    def test_a_balancer_that_starts_after_the_change_finds_the_flows(self):
+        world, flows = self.opened()
+        world.routes = routes(2, ROUTE_SHARES[1])
+        world.start_balancer(2)
+        self.assert_flows_stay(world, flows, 2)
+
+    def test_a_balancer_that_has_never_known_the_route_finds_the_flows(self):
+        world, flows = self.opened()
+        world.start_balancer(2, routes(1, ()))
+        self.assert_flows_stay(world, flows, 2)
+
+    def test_open_flows_survive_a_route_that_is_removed_and_added_again(self):
+        world, flows = self.opened()
+        for balancer in BALANCERS:
+            updater = world.route_updaters[balancer]
+            updater.install(routes(2, ()), "test")
+            updater.install(routes(3), "test")
+            self.assert_flows_stay(world, flows, balancer)
+
+    def test_a_flow_without_a_known_agent_is_reset_if_its_route_was_removed(self):
+        world, flows = self.opened()
+        world.route_updaters[2].install(routes(2, ()), "test")
+        self.assertEqual(world.send(2, flows[0].caller), ([], [flows[0]]))
+
+    def test_new_flows_follow_the_newest_configuration(self):
+        world, flows = self.opened()
+        world.route_updaters[1].install(routes(2, ROUTE_SHARES[1]), "test")
+        held = set(world.agents[3][1].flows)
+        # The target accepts four flows at a time.
+        for flow in flows[:4]:
+            world.allowed_services.pop(flow)
+            world.send(1, flow.caller, SYN, copy=1)
+        self.assertEqual(world.agents[3][1].flows - held, set(flows[:4]))
+        # No detour through an agent of the former service.
+        counts = world.balancers[1]._metrics.counts
+        self.assertEqual(counts["balancer.returned.other-service"], 0)
+
+    def test_the_number_of_remembered_removed_routes_is_bounded(self):
+        updater = RouteUpdater("edge-1", None, 3.0)
+        route = routes().routes[0][1]
+        fronts = [Address("198.18.0.1", port) for port in range(1, 2_001)]
+        table = tuple((front, route) for front in fronts)
+        updater.install(RouteTable(1, table, 15.0), "test")
+        updater.install(RouteTable(2, table[:1], 15.0), "test")
+        removed = [front for front in fronts if updater.was_removed(front)]
+        self.assertEqual(len(removed), MAX_REMOVED_ROUTES)
+        self.assertNotIn(fronts[0], removed)
+
+    def test_a_reset_of_a_flow_whose_route_was_never_known_is_detected(self):
+        patch = mock.patch.object(RouteUpdater, "was_removed", lambda self, front: True)
+        with patch, self.assertRaises(AssertionError):
+            self.test_a_balancer_that_has_never_known_the_route_finds_the_flows()
+
+    def test_an_opening_packet_that_follows_a_cached_agent_is_detected(self):
+        """A cached agent is used although the route gives another service now."""
+
+        def choose_agent(self, service, flow, copy, now):
+            known = self.find(flow)
+            if known is not None:
+                return Dispatch(known, "cached")
+            return original(self, service, flow, copy, now)
+
+        original = Placement.choose_agent
+        patch = mock.patch.object(Placement, "choose_agent", choose_agent)
+        with patch, self.assertRaises(AssertionError):
+            self.test_new_flows_follow_the_newest_configuration()
+
+    def test_a_target_whose_host_changed_service_is_asked(self):
+        """The balancer believes that the agent belongs to its earlier service."""
+        world = started(1)
+        world.is_lost = lambda source, to: to.host == "10.0.1.2"
+        world.start_agent(1, OTHER_SERVICE, Target("i-other", OTHER_SERVICE))
+        world.heartbeat(1)
+        world.now += ACK_TIMEOUT_S
+        world.report(1)
+        world.route_updaters[1].install(routes(2, ROUTE_SHARES[1]), "test")
+        world.send(1, caller(1), SYN)
+        world.is_lost = lambda source, to: False
+        flow = Flow(caller(1), FRONT)
+        self.assertIsNotNone(world.target_of(flow))
+        for restarted in (False, True):
+            if restarted:
+                world.is_lost = lambda source, to: to.host == "10.0.1.2"
+                world.start_agent(1, OTHER_SERVICE, world.agents[1][1])
+                world.is_lost = lambda source, to: False
+            self.assertEqual(world.send(2, flow.caller), ([flow], []))
+            world.balancers[2]._placement.forget(flow)
+
 
 class JoiningAgentTest(unittest.TestCase):
     """An agent joins while one balancer does not know it yet."""
@@ -356,13 +683,14 @@
         self.assertEqual(received, [holder])
 
     def test_a_flow_among_many_agents_is_found_without_waiting_for_the_caller(self):
-        """All agents have restarted, and the rate limit of probes binds."""
+        """All agents have restarted, and both rate limits bind."""
         numbers = range(1, 41)
         world = started(*numbers)
         flow, _ = self.open_flow_at_last_agent(world)
         for number in numbers:
             world.start_agent(number, SERVICE, world.agents[number][1])
         world.balancers[2]._searches._probe_limiter.try_take(world.now, PROBE_BURST)
+        world.balancers[2]._searches._budget.charge(world.now, COST_BURST_US)
         world.send(2, flow.caller)
         world.pass_time(1.0)
         self.assertEqual((world.answers, world.resets), ([flow], []))
@@ -398,8 +726,8 @@
         self.assertEqual(world.send(2, flow.caller), ([], []))
 
     def test_a_reset_without_a_complete_agent_list_is_detected(self):
-        def next_step(self, flow, members, complete, now):
-            return original(self, flow, members, True, now)
+        def next_step(self, flow, members, complete, *args):
+            return original(self, flow, members, True, *args)
 
         original = Searches.next_step
         patch = mock.patch.object(Searches, "next_step", next_step)
@@ -407,6 +735,147 @@
             self.test_a_balancer_without_a_complete_agent_list_resets_no_flow()
 
 
+class LostFlowsTest(unittest.TestCase):
+    """Flows whose targets have ended, and agents that cannot tell.
+
+    On trouble-1 of the tender portal 975 requests failed within 2 s of a power loss and
+    900 more in the 8 s after, on flows that were searched with sequential probes.
+    """
+
+    ROUND_TRIP_HOPS = 2
+
+    def restarted(self, count):
+        """Return a world whose agents have restarted and cannot tell."""
+        numbers = range(1, count + 1)
+        world = started(*numbers)
+        for number in numbers:
+            world.start_agent(number, SERVICE, world.agents[number][1])
+            world.heartbeat(number)
+            self.assertFalse(world.agents[number][0]._router.is_absent(world.now))
+        return world
+
+    def lose_flows(self, count=300, agent_count=40):
+        world = self.restarted(agent_count)
+        flows = [Flow(caller(number), FRONT) for number in range(count)]
+        begun = world.now
+        world.send_at_once(2, flows)
+        self.assertEqual(set(world.resets), set(flows))
+        self.assertEqual(len(world.resets), count)
+        hops = max(world.reset_depths.values())
+        self.assertLessEqual(hops, 2 * self.ROUND_TRIP_HOPS)
+        # No step has waited for a timeout or for the rate limit.
+        self.assertLess(world.now - begun, ANSWER_TIMEOUT_S / 2)
+        return world
+
+    def test_flows_that_are_lost_at_once_are_reset_within_two_round_trips(self):
+        world = self.lose_flows()
+        counts = world.balancers[2]._metrics.counts
+        self.assertEqual(counts["balancer.looked_up"], 300 * 40)
+        self.assertLess(counts["balancer.lookup_datagrams"], 300 * 40 / 10)
+
+    def test_sequential_probes_are_detected_as_too_slow(self):
+        """As formerly, an agent is sent a packet only after the one before it."""
+
+        def look_up(self, search, members, now):
+            search.silent.update(m.node for m in members)
+            return self._probe(search, members[0], now)
+
+        patch = mock.patch.object(Searches, "_look_up", look_up)
+        with patch, self.assertRaises(AssertionError):
+            self.lose_flows()
+
+    def test_a_held_flow_among_lost_ones_is_found_as_fast(self):
+        world = self.restarted(40)
+        flows = [Flow(caller(number), FRONT) for number in range(300)]
+        for index, number in enumerate(range(0, 300, 30)):
+            world.agents[4 * index + 1][1].flows.add(flows[number])
+        world.send_at_once(2, flows)
+        held = set(flows[::30])
+        self.assertEqual(set(world.resets), set(flows) - held)
+        self.assertEqual(sorted(world.answers), sorted(held))
+
+    def crash(self, world, number):
+        _, target = world.agents[number]
+        target.crashed = True
+        target.flows.clear()
+        return target
+
+    def test_a_crashed_target_is_not_taken_for_the_holder(self):
+        world = self.restarted(4)
+        self.crash(world, 1)
+        for number in (2, 3, 4):
+            world.heartbeat(number)
+        world.now += 2.0
+        for number in AGENTS:
+            world.report(number)
+        flow = Flow(caller(1), FRONT)
+        world.send(2, flow.caller)
+        world.pass_time(0.5)
+        self.assertEqual(world.resets, [])
+        self.assertIsNone(world.balancers[2]._placement.find(flow))
+        # The next target is asked without a further packet of the caller.
+        world.agents[1] = (world.agents[1][0], Target("i-new", SERVICE))
+        world.heartbeat(1)
+        world.pass_time(0.3)
+        self.assertEqual(world.resets, [flow])
+
+    def test_presuming_without_a_sign_of_life_is_detected(self):
+        patch = mock.patch.object(
+            TargetState, "has_missed_heartbeats", lambda self, now, count: False
+        )
+        with patch, self.assertRaises(AssertionError):
+            self.test_a_crashed_target_is_not_taken_for_the_holder()
+
+    def test_a_target_that_keeps_a_packet_without_an_answer_is_the_holder(self):
+        """A target need not answer a pure acknowledgement at once."""
+        world = self.restarted(4)
+        target = world.agents[3][1]
+        target.delays_acks = True
+        flow = Flow(caller(1), FRONT)
+        target.flows.add(flow)
+        world.send(2, flow.caller)
+        world.pass_time(CONFIRMATION_DELAY_S + CHECK_INTERVAL_S)
+        self.assertEqual(world.balancers[2]._placement.find(flow).node, "side-3")
+        self.assertEqual(world.resets, [])
+
+    def test_lost_answers_are_asked_for_again(self):
+        world = self.restarted(12)
+        flow = Flow(caller(1), FRONT)
+        lost = iter([True] * 12)
+        world.is_lost = lambda source, to: (
+            to.host == "10.0.1.2" and source.host != "10.0.2.1" and next(lost, False)
+        )
+        world.send(2, flow.caller)
+        self.assertEqual(world.resets, [])
+        world.pass_time(2 * ANSWER_TIMEOUT_S + RETRY_INTERVAL_S)
+        self.assertEqual(world.resets, [flow])
+
+    def test_an_agent_that_restarts_while_asked_is_asked_again(self):
+        world = self.restarted(4)
+        self.crash(world, 2)
+        flow = Flow(caller(1), FRONT)
+        world.send(2, flow.caller)
+        target = Target("i-2", SERVICE)
+        target.flows.add(flow)
+        world.start_agent(2, SERVICE, target)
+        world.pass_time(0.5)
+        self.assertEqual((world.answers, world.resets), ([flow], []))
+
+    def test_agents_of_an_older_version_are_probed(self):
+        for is_held in (False, True):
+            world = self.restarted(4)
+            flow = Flow(caller(1), FRONT)
+            if is_held:
+                world.agents[4][1].flows.add(flow)
+            for number in AGENTS:
+                address = Address(f"10.0.2.{number}", 7000)
+                del world._by_address[address].handlers[FlowLookup]
+            world.send(2, flow.caller)
+            world.pass_time(0.5)
+            self.assertEqual(world.resets, [] if is_held else [flow])
+            self.assertEqual(world.answers, [flow] if is_held else [])
+
+
 class CopyTest(unittest.TestCase):
     def test_dropping_a_queued_copy_does_not_reset_the_flow_at_another_agent(self):
         """One copy is queued at one agent, the next opens the flow at another."""
@@ -428,6 +897,56 @@
         return Flow(caller(number), FRONT)
 
 
+class ReusedPortTest(unittest.TestCase):
+    def open_and_drain(self, confirmed):
+        """Open a flow whose target then drains.
+
+        Returns the world, the flow and the number of its agent.
+        """
+        world = started(1, 2)
+        world.send(1, caller(1), SYN)
+        flow = Flow(caller(1), FRONT)
+        number = next(n for n, (_, t) in world.agents.items() if flow in t.flows)
+        if confirmed:
+            world.send(1, flow.caller)
+        world.agents[number][1].draining = True
+        world.heartbeat(number)
+        return world, flow, number
+
+    def test_a_reused_port_opens_no_flow_at_a_draining_target(self):
+        # The agent remembered the earlier flow of the port for up to 60 s and sent its
+        # target the opening packet of the next one.
+        for confirmed in (False, True):
+            world, flow, number = self.open_and_drain(confirmed)
+            draining_target = world.agents[number][1]
+            draining_target.flows.discard(flow)
+            answers, resets = world.send(1, flow.caller, SYN)
+            self.assertEqual((answers, resets), ([flow], []))
+            self.assertEqual(draining_target.accepted_while_draining, [])
+            for balancer in BALANCERS:
+                self.assertEqual(world.send(balancer, flow.caller), ([flow], []))
+
+    def test_a_copy_follows_the_first_opening_packet_to_a_draining_target(self):
+        # At another target it would open a second flow with the same addresses.
+        for confirmed in (False, True):
+            world, flow, number = self.open_and_drain(confirmed)
+            world.send(1, flow.caller, SYN, copy=1)
+            holders = [n for n, (_, t) in world.agents.items() if flow in t.flows]
+            self.assertEqual(holders, [number])
+
+    def test_an_opening_packet_later_than_any_copy_opens_a_new_flow(self):
+        # Callers may begin each flow with the same sequence number.
+        world, flow, number = self.open_and_drain(confirmed=True)
+        draining_target = world.agents[number][1]
+        draining_target.flows.discard(flow)
+        world.now += COPY_PERIOD_S
+        for n in (1, 2):
+            world.report(n)
+        world.send(1, flow.caller, SYN, copy=1)
+        self.assertEqual(draining_target.accepted_while_draining, [])
+        self.assertIs(world.target_of(flow), world.agents[3 - number][1])
+
+
 class ServiceTest(unittest.TestCase):
     def test_a_reused_address_gets_no_packets_of_the_previous_service(self):
         world = started(1, 2)
--- a/tests/support/platform_deployment.py
+++ b/tests/support/platform_deployment.py
@@ -67,7 +67,9 @@
         self.app, self.outbound, self.admin = app, outbound, admin
         self.state, self.sequence = "ready", 0
         self.flows, self.opened, self.answered = set(), [], []
+        self.opened_at, self.warm_up_left_ms = [], 0
         self.acknowledged = 0
+        self.drain_acknowledged = False
         self._transport = None
 
     async def open(self):
@@ -87,6 +89,7 @@
         if flags & SYN:
             self.flows.add(flow)
             self.opened.append(flow)
+            self.opened_at.append(asyncio.get_running_loop().time())
             self.send(packet(service_address, caller, SYN | ACK, 900))
         elif flow not in self.flows:
             self.send(returned(data))
@@ -109,8 +112,12 @@
 
     async def heartbeat(self):
         self.sequence += 1
+        is_draining = self.state == "draining"
         body = json.dumps(self.report()).encode()
-        self.acknowledged += await self.post_heartbeat(body)
+        is_acknowledged = await self.post_heartbeat(body)
+        self.acknowledged += is_acknowledged
+        if is_draining and is_acknowledged:
+            self.drain_acknowledged = True
 
     def report(self):
         """Return the fields of a heartbeat."""
@@ -121,7 +128,7 @@
             "version": "v1",
             "slots": 2,
             "state": self.state,
-            "warmupLeftMs": 0,
+            "warmupLeftMs": self.warm_up_left_ms,
             "seq": self.sequence,
         }
 
@@ -187,9 +194,14 @@
         Number of balancers.
     services : sequence of str
         The service of each target.
+    data_centres : dict of str to str
+        Data centres of hosts by address; the others are in ``dc``.
     """
 
-    def __init__(self, balancers=2, services=("case-desk", "case-desk")):
+    def __init__(
+        self, balancers=2, services=("case-desk", "case-desk"), data_centres=()
+    ):
+        self._data_centres = dict(data_centres)
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
         self.store = Address("127.0.0.1", free_port())
@@ -245,19 +257,19 @@
 
     def start_process(self, host):
         """Start the balancer or the agent of a host."""
-        fields, first_bound = self.settings_of(host)
+        fields, *first_bound = self.settings_of(host)
         file = self.folder / f"{host}.json"
         file.write_text(json.dumps(fields))
         role = "balancer" if host in self.balancer_hosts else "agent"
         self._spawn(
-            host, str(START_SCRIPT), role, first_bound, RYESADDLE_SETTINGS=str(file)
+            host, str(START_SCRIPT), role, *first_bound, RYESADDLE_SETTINGS=str(file)
         )
 
     def settings_of(self, host):
-        """Return the settings of a process, and the address it binds first."""
+        """Return the settings of a process, and the addresses it binds first."""
         fields = {
             "node": host,
-            "data_centre": "dc",
+            "data_centre": self._data_centres.get(host, "dc"),
             "store": str(self.store),
             "seeds": [
                 str(self.at(balancer_host, "admin"))
@@ -270,6 +282,7 @@
         for name in ("peer", "ready", "metrics"):
             fields[name] = str(self.at(host, name))
         if host in self.balancer_hosts:
+            fields["evacuation_ms"] = 5_000
             return fields, fields["callers"]
         target = self.targets[self.agent_hosts.index(host)]
         fields.update(
@@ -278,7 +291,7 @@
             outbound=str(target.outbound),
             heartbeat_ms=100,
         )
-        return fields, fields["peer"]
+        return fields, fields["peer"], fields["control"]
 
     def _spawn(self, name, *args, **env):
         log = (self.folder / f"{name}.log").open("ab")
@@ -354,6 +367,10 @@
         """Call a control route of the fake store; faults do not affect these."""
         await send_request(self.store, method, path, json.dumps(value).encode())
 
+    async def set_back_store(self, seconds):
+        """Return the store to its state some seconds ago, in a new era."""
+        await self.store_call("POST", "/back", seconds)
+
     async def open_flow(self, host, service="case-desk"):
         """Open a flow through a balancer and return the caller's port."""
         port = self.caller.new_port()
