Tell from a refused connection that a target has ended

Cause: after a power loss some targets that were about to stop did not come back.

An agent that stops then says that it is gone.

--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -4,6 +4,7 @@
 import logging
 from collections import deque
 
+from ryesaddle.daemons.passthrough.target_probe import is_listening
 from ryesaddle.internal.log import event
 from ryesaddle.internal.routing.packet import Flow
 from ryesaddle.internal.target.flows import AnswerStarted, FlowOpened
@@ -36,6 +37,7 @@
 CONFIRMATION_DELAY_S = 0.02
 # Answers to lookups are collected for this time, unless none is left to come.
 LOOKUP_RESULT_DELAY_S = 0.002
+TARGET_CHECK_INTERVAL_S = 0.25  # of a target that is silent, until it is known to run
 # A target that has missed so many heartbeats may have crashed.
 MAX_MISSED_HEARTBEATS = 2
 
@@ -207,6 +209,28 @@
         self._lookups.expire(now, CONFIRMATION_DELAY_S, self._target_appears_alive(now))
         self._continue_lookups()
 
+    async def watch_target_process(self):
+        """Check whether a silent target still runs, until cancelled.
+
+        After a power loss a target may not come back. Without this check its agent
+        could not tell that its flows have ended, and their callers would wait.
+        """
+        while True:
+            await asyncio.sleep(TARGET_CHECK_INTERVAL_S)
+            now = self._now()
+            if self._router.is_absent(now) or self._target_appears_alive(now):
+                continue
+            if not await is_listening(self._settings.target_address):
+                self.record_target_not_running()
+
+    def record_target_not_running(self):
+        """Record that no process listens where the target does."""
+        event(log, "target-not-running", target=self._target_state.target)
+        self._metrics.count("agent.target_not_running")
+        self._flows.record_target_start(self._now())
+        self._lookups.ask_again()
+        self._continue_lookups()
+
     def _target_appears_alive(self, now):
         """Whether it follows from a packet not returned that the target has kept it.
 
--- a/src/ryesaddle/daemons/passthrough/run_agent.py
+++ b/src/ryesaddle/daemons/passthrough/run_agent.py
@@ -34,6 +34,7 @@
 )
 from ryesaddle.daemons.passthrough.reporter import Reporter
 from ryesaddle.daemons.passthrough.sockets import MessageSocket, PacketSocket
+from ryesaddle.daemons.passthrough.target_probe import is_listening
 from ryesaddle.errors import StoreError
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.log import event, set_up_logging, warn
@@ -194,6 +195,8 @@
     tasks.start(heartbeat_handler.run)
     tasks.start(agent.run)
     tasks.start(agent.watch)
+    if settings.target_listens:
+        tasks.start(agent.watch_target_process)
     tasks.start(reconciler.run)
     tasks.start(_keep_complete, store, reporter, reconciler, loading, new_era)
     await stop.wait()
@@ -202,7 +205,10 @@
     reporter.report()
     await _drain(flows, target_state, settings.stop_limit_s - STOP_MARGIN_S)
     tasks.close()
-    reporter.report(gone=not target_state.target)
+    has_ended = not target_state.target or (
+        settings.target_listens and not await is_listening(settings.target_address)
+    )
+    reporter.report(gone=has_ended)
     event(
         log,
         "stopped",
--- a/src/ryesaddle/daemons/passthrough/settings.py
+++ b/src/ryesaddle/daemons/passthrough/settings.py
@@ -111,12 +111,16 @@
         Address of the UDP socket to which the target sends its packets.
     heartbeat_ms : int
         Expected time between two heartbeats, in milliseconds.
+    target_listens : bool
+        Whether the target listens on TCP at ``target_address`` for as long as its
+        process runs, so that a refused connection shows that it has ended.
     """
 
     service: str
     target_address: Address
     outbound: Address
     heartbeat_ms: int = 1_000
+    target_listens: bool = False
 
 
 def load_passthrough_settings(path, kind):
--- a/tests/routing/test_passthrough.py
+++ b/tests/routing/test_passthrough.py
@@ -839,6 +839,22 @@
         world.pass_time(0.3)
         self.assertEqual(world.resets, [flow])
 
+    def test_flows_end_when_the_process_of_a_silent_target_is_gone(self):
+        # On trouble-1 of the tender portal, targets that were about to stop did not
+        # come back after a power loss, and flows were searched until 44 s.
+        world = self.restarted(4)
+        self.crash(world, 1)
+        world.now += 2.0
+        for number in AGENTS:
+            world.report(number)
+        flow = Flow(caller(1), FRONT)
+        world.send(2, flow.caller)
+        world.pass_time(0.5)
+        self.assertEqual(world.resets, [])
+        world.agents[1][0].record_target_not_running()
+        world.pass_time(1.0)
+        self.assertEqual(world.resets, [flow])
+
     def test_presuming_without_a_sign_of_life_is_detected(self):
         patch = mock.patch.object(
             TargetState, "has_missed_heartbeats", lambda self, now, count: False
