--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -95,8 +95,8 @@
         self._target_silent = False
         messages.on(ForwardedPacket, self._on_forwarded_packet)
         messages.on(FlowQuery, self._on_flow_query)
-        reporter.on_evacuated = self._process_queue
         messages.on(FlowLookup, self._on_flow_lookup)
+        reporter.on_evacuated = self._process_queue
 
     async def run(self):
         """Remove expired flows until cancelled."""
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -134,7 +134,10 @@
         return now >= self._complete_from
 
     def record_target_start(self, now):
-        """Record that the target has just started and holds no flows yet."""
+        """Record that the target holds no flow that is not known here.
+
+        It has just started, or its process does not run.
+        """
         self._complete_from = min(self._complete_from, now)
 
     def in_flight(self, now):
