Use one tracker of eras, one record lookup and one item size

Cause: a reading of the whole change found three pieces written twice: Evacuations tracked the era of the store beside EraTracker, the agent answered queries and lookups from its records in three places, and the size of a lookup item was defined twice. The long flow pattern copied how a simulated caller opens a flow, and the limit of warm-up was looked up in a new dict for each acknowledgement.

Change: Evacuations is told whether the era has settled; _recorded_verdict serves queries and lookups; search.py takes ITEM_BYTES from lookup_batches.py; the pattern calls _send_opening_packets; RouteTable keeps the limits by service. Two comments are corrected. The tests of evacuations keep their assertions and observe the era as a balancer does.

--- a/bench/long_flows.py
+++ b/bench/long_flows.py
@@ -23,7 +23,6 @@
 )
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.routing.packet import Flow, Packet
-from ryesaddle.internal.target.queue import CALLER_GIVE_UP_S, COPY_DELAYS_S
 
 # A caller notices within this time that its flow has ended with the target.
 FLOW_LOSS_NOTICE_S = 0.1
@@ -188,12 +187,7 @@
         duration_s = self._rng.uniform(min_flow_s, self._pattern.max_flow_s)
         caller.flow, caller.flow_ends_at = flow, now + duration_s
         self._callers[flow] = caller
-        self._requests[flow] = [first_at, tries, "opening"]
-        for copy, age_s in enumerate(COPY_DELAYS_S):
-            self._schedule(
-                now + age_s + CALLER_LATENCY_S, self._route_at_balancer, flow, copy
-            )
-        self._schedule(now + CALLER_GIVE_UP_S, self._handle_opening_timeout, flow)
+        self._send_opening_packets(now, flow, first_at, tries)
 
     def _retry(self, now, flow):
         caller = self._callers[flow]
--- a/bench/surge.py
+++ b/bench/surge.py
@@ -351,6 +351,9 @@
             self.outcome.failed += 1
             return
         flow = Flow(Address("100.64.0.7", next(self._ports)), SERVICE_ADDRESS)
+        self._send_opening_packets(now, flow, first_at, tries)
+
+    def _send_opening_packets(self, now, flow, first_at, tries):
         self._requests[flow] = [first_at, tries, "opening"]
         for copy, age_s in enumerate(COPY_DELAYS_S):
             self._schedule(
--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -139,19 +139,21 @@
 
     def _on_flow_query(self, query, addr):
         self._reporter.record_contact(query.balancer)
-        flow, now, node = (
-            Flow(query.caller, query.front),
-            self._now(),
-            self._settings.node,
-        )
-        if flow in self._flows:
-            service = self._settings.service
+        node, service = self._settings.node, self._settings.service
+        verdict = self._recorded_verdict(Flow(query.caller, query.front))
+        if verdict == "held":
             answer = FlowLocation(node, service, query.caller, query.front)
         else:
-            certain = self._router.is_absent(now)
+            certain = verdict == "absent"
             answer = FlowUnknown(node, query.caller, query.front, certain)
         self._messages.send(query.balancer, answer)
 
+    def _recorded_verdict(self, flow):
+        """Return what the records tell of a flow: held, absent or unsure."""
+        if flow in self._flows:
+            return "held"
+        return "absent" if self._router.is_absent(self._now()) else "unsure"
+
     # Lookups
 
     def _on_flow_lookup(self, lookup, addr):
@@ -159,7 +161,8 @@
         for item in lookup.items:
             flow = Flow(item.caller, item.front)
             if not item.payload:
-                self._answer_from_records(flow, lookup.balancer)
+                verdict = self._recorded_verdict(flow)
+                self._lookups.record_answer(flow, lookup.balancer, verdict)
                 continue
             packet = self._packets.read_caller(item.payload)
             if packet is None or packet.opens or packet.flow != flow:
@@ -169,26 +172,20 @@
                 self._lookups.add(flow, item.payload, lookup.balancer)
         self._continue_lookups()
 
-    def _answer_from_records(self, flow, balancer):
-        if flow in self._flows:
-            verdict = "held"
-        else:
-            verdict = "absent" if self._router.is_absent(self._now()) else "unsure"
-        self._lookups.record_answer(flow, balancer, verdict)
-
     def _continue_lookups(self):
         """Answer from the records, or send the packet of a flow to the target."""
         now = self._now()
         while (found := self._lookups.next_waiting()) is not None:
             flow, payload, balancer = found
-            if flow in self._flows:
+            verdict = self._recorded_verdict(flow)
+            if verdict == "held":
                 # The balancer need not send the packet again: "held" means that the
                 # target has been sent it, whether or not it had to be asked.
                 self._lookups.resolve(flow, "held")
                 forwarded = ForwardedPacket(self._settings.service, balancer, payload)
                 packet = self._packets.read_caller(payload)
                 self._deliver(Deliver("held"), forwarded, packet)
-            elif self._router.is_absent(now):
+            elif verdict == "absent":
                 self._lookups.resolve(flow, "absent")
             else:
                 token = self._sent_packets.new_token()
--- a/src/ryesaddle/daemons/passthrough/evacuation.py
+++ b/src/ryesaddle/daemons/passthrough/evacuation.py
@@ -1,6 +1,5 @@
 """The evacuated data centres as a balancer knows them."""
 
-import asyncio
 import logging
 
 from ryesaddle.internal.config.evacuation import Evacuations
@@ -21,12 +20,15 @@
         The known agents.
     placement : Placement
         Places no new flows in evacuated data centres.
+    eras : EraTracker
+        Tracks the eras of the store.
     """
 
-    def __init__(self, messages, directory, placement):
+    def __init__(self, messages, directory, placement, eras):
         self._messages = messages
         self._directory = directory
         self._placement = placement
+        self._eras = eras
         self._evacuations = Evacuations()
 
     @property
@@ -36,7 +38,8 @@
 
     def apply_reading(self, reading, asked_at):
         """Apply a reading of the store that was asked for at a time."""
-        if self._evacuations.apply_reading(reading, asked_at, self._now()):
+        is_settled = not self._eras.settle_delay_s(asked_at)
+        if self._evacuations.apply_reading(reading, is_settled):
             self._announce("store")
 
     def merge(self, state, source):
@@ -59,6 +62,3 @@
         # acknowledgement of one of its reports.
         addresses = [member.address for member in self._directory.members()]
         self._messages.send_all(addresses, EvacuationUpdate(state))
-
-    def _now(self):
-        return asyncio.get_running_loop().time()
--- a/src/ryesaddle/daemons/passthrough/run_balancer.py
+++ b/src/ryesaddle/daemons/passthrough/run_balancer.py
@@ -87,7 +87,7 @@
     callers_socket = PacketSocket(
         lambda data, addr: balancer.on_caller_packet(data, addr)
     )
-    evacuations = EvacuationMonitor(messages, directory, placement)
+    evacuations = EvacuationMonitor(messages, directory, placement, store.eras)
     reads_evacuations = settings.evacuation_ms is not None
     bound_ms = min(
         settings.configuration_ms, settings.evacuation_ms or settings.configuration_ms
--- a/src/ryesaddle/internal/routing/lookup_batches.py
+++ b/src/ryesaddle/internal/routing/lookup_batches.py
@@ -5,7 +5,7 @@
 from ryesaddle.internal.wire.passthrough import LookupItem
 
 MAX_BATCH_BYTES = 1_200  # of one datagram, as in the packets of callers
-ITEM_BYTES = 40  # of an encoded flow
+ITEM_BYTES = 40  # of an encoded flow, besides its packet
 
 
 class _Batch(msgspec.Struct):
--- a/src/ryesaddle/internal/routing/placement.py
+++ b/src/ryesaddle/internal/routing/placement.py
@@ -9,9 +9,8 @@
 
 # Three candidates close 90 % of the gap between hashing and one shared queue.
 MAX_CANDIDATES = 3
-# A choice lasts for a long flow, so more candidates pay. Four raise the late answers by
-# a third, twelve make balancers with views 0.2 s old choose the same agents
-# (bench/long_flows.py). The first search for a flow asks eight agents.
+# A choice lasts for a long flow, so more candidates pay. With many more, balancers
+# whose views are 0.2 s old choose the same agents (bench/long_flows.py).
 LONG_FLOW_CANDIDATES = 6
 # Of these, agents of the balancer's own data centre; the others spread the load.
 MAX_LOCAL_CANDIDATES = 2
--- a/src/ryesaddle/internal/routing/route.py
+++ b/src/ryesaddle/internal/routing/route.py
@@ -89,10 +89,14 @@
         """The routes by service address."""
         return dict(self.routes)
 
+    @cached_property
+    def _warm_up_by_service(self):
+        return dict(self.warm_up_per_s)
+
     def find(self, front):
         """Return the `Route` of a service address, or None."""
         return self.by_address.get(front)
 
     def warm_up_rate(self, service):
         """Return the requests per second of a target that warms up; 0 if unlimited."""
-        return dict(self.warm_up_per_s).get(service, 0.0)
+        return self._warm_up_by_service.get(service, 0.0)
--- a/src/ryesaddle/internal/routing/search.py
+++ b/src/ryesaddle/internal/routing/search.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from ryesaddle.internal.routing.lookup_batches import ITEM_BYTES
 from ryesaddle.internal.routing.packet import Packet
 from ryesaddle.internal.store.pacing import TokenBucket
 
@@ -39,7 +40,6 @@
 # The smallest hosts have links of 10 Mbit/s. A packet for all agents of a flow takes
 # some 15 kB: 2,500 flows that were lost at once filled those links for seconds.
 PACKET_BYTES_PER_S, PACKET_BURST_BYTES = 60_000, 250_000
-ITEM_BYTES = 40  # of a flow in a lookup, besides the packet
 FEW_SEARCHES = 8  # up to here, packets go to all agents in the second round
 # Agents of an older version are sent a packet of the flow one after the other.
 UNTHROTTLED_PROBES = 6
@@ -227,9 +227,9 @@
     move between targets. An agent that has said so is therefore not asked again while
     its target stays the same, however often the caller sends.
 
-    Addresses thousands of flows that are lost at once by a power loss: each ends after
-    two rounds, and the time that they take is bounded by a budget. Searches that have
-    asked few agents go first, as flows that are held are mostly found by the first.
+    Addresses thousands of flows that are lost at once by a power loss: each is asked
+    about in few rounds, within budgets of processor time and of bytes. Searches that
+    have asked few agents go first: flows that are held are mostly found by the first.
     """
 
     def __init__(self):
--- a/src/ryesaddle/internal/target/lookups.py
+++ b/src/ryesaddle/internal/target/lookups.py
@@ -85,7 +85,7 @@
 
     def record_return(self, token, flow):
         """Record that the target returned a packet; return whether it was a lookup."""
-        if token != 0 and self._flow_by_token.get(token) == flow:
+        if self._flow_by_token.get(token) == flow:
             self.resolve(flow, "absent")
             return True
         # The return of a target that is busy, as many are after a power loss, replaces
--- a/tests/config/test_evacuation.py
+++ b/tests/config/test_evacuation.py
@@ -2,11 +2,8 @@
 
 from hypothesis import given, strategies as st
 
-from ryesaddle.internal.config.evacuation import (
-    ERA_SETTLE_S,
-    Evacuations,
-    EvacuationState,
-)
+from ryesaddle.internal.config.evacuation import Evacuations, EvacuationState
+from ryesaddle.internal.store.era import ERA_SETTLE_S, EraTracker
 
 EVACUATED = EvacuationState(0, 10, ("bkk-a",))
 LIFTED = EvacuationState(0, 12, ())
@@ -15,9 +12,14 @@
 class EvacuationsTest(unittest.TestCase):
     def setUp(self):
         self.evacuations = Evacuations()
+        self.eras = EraTracker()
 
-    def read(self, state, now=100.0):
-        return self.evacuations.apply_reading(state, now, now)
+    def read(self, state, now=100.0, asked_at=None):
+        """Apply a reading as a balancer does; the client rejects outdated answers."""
+        if not self.eras.observe(state.era, now):
+            return False
+        is_settled = not self.eras.settle_delay_s(now if asked_at is None else asked_at)
+        return self.evacuations.apply_reading(state, is_settled)
 
     @given(st.permutations([(0, 5), (0, 10), (0, 12), (1, 3), (1, 4)]))
     def test_any_order_of_states_ends_at_the_newest(self, order):
@@ -52,13 +54,13 @@
 
     def test_an_answer_that_was_asked_for_before_the_era_settled_does_not_count(self):
         self.read(EVACUATED)
-        self.evacuations.record_era(1, 100.0)
+        self.eras.learn(1, 100.0)
         reading, settled_at = EvacuationState(1, 8, ()), 100.0 + ERA_SETTLE_S
-        self.evacuations.apply_reading(reading, settled_at - 0.1, settled_at + 0.1)
+        self.read(reading, settled_at + 0.1, asked_at=settled_at - 0.1)
         self.assertEqual(self.evacuations.state, EVACUATED)
 
     def test_an_answer_of_an_earlier_era_is_outdated(self):
-        self.evacuations.record_era(1, 100.0)
+        self.eras.learn(1, 100.0)
         self.assertFalse(self.read(EVACUATED, 200.0))
         self.assertIsNone(self.evacuations.state)
 
--- a/tests/support/passthrough.py
+++ b/tests/support/passthrough.py
@@ -23,6 +23,7 @@
 from ryesaddle.internal.routing.packet import Flow
 from ryesaddle.internal.routing.placement import Placement
 from ryesaddle.internal.routing.route import Route, RouteTable, TrafficShare
+from ryesaddle.internal.store.era import EraTracker
 from ryesaddle.internal.target.flows import TargetFlows
 from ryesaddle.internal.target.queue import FlowQueue
 from ryesaddle.internal.target.report import TargetReport
@@ -259,7 +260,7 @@
         messages = FakeMessages(self, address)
         directory = AgentDirectory()
         placement = Placement("dc", directory)
-        evacuations = EvacuationMonitor(messages, directory, placement)
+        evacuations = EvacuationMonitor(messages, directory, placement, EraTracker())
         route_updater = RouteUpdater(node, None, 3.0)
         route_updater.install(table or self.routes, "test")
         agents = AgentMonitor(
@@ -275,7 +276,7 @@
             FakePackets(self),
             Metrics(),
         )
-        agents._now = balancer._now = evacuations._now = lambda: self.now
+        agents._now = balancer._now = lambda: self.now
         balancer._call_later = self.call_later
         self.balancers[number] = balancer
         self.route_updaters[number] = route_updater
