Send a changed configuration as a compressed difference

Each balancer fetched the whole state (some 95 KB of JSON) of one source at each version it heard of, threw away what had come after 1.0 s and began again. Links of 10 Mbit/s were full, and callers' packets waited behind the transfers.

Change: RouteHistory knows which routes each version has changed, and a balancer asks for the change from its own version (StateRequest). The digest of the resulting table is checked; if it differs (a version that the source has not seen, a store that gave a version again), all routes are fetched. Transfers are compressed, go on while bytes arrive, at most two at a time, and versions that follow each other within a tenth of the bound are fetched together. A source admits two large transfers an interval of gossip (TransferBudget), so that the rest fetch from those that have it by then. Balancers of older versions ignore the request's body and answer whole.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,6 +10,7 @@
 import matplotlib.pyplot as plt
 
 from bench.broken import run_broken
+from bench.configuration import run_configuration
 from bench.datapath import run_datapath, run_flow_memory
 from bench.long_flows import run_long_flows
 from bench.passthrough import run_passthrough
@@ -37,6 +38,7 @@
     "changes": run_changes,
     "surge": run_surge,
     "long_flows": run_long_flows,
+    "configuration": run_configuration,
     "passing": run_passthrough,
 }
 
--- a/src/ryesaddle/daemons/passthrough/http.py
+++ b/src/ryesaddle/daemons/passthrough/http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import zlib
 from collections import deque
 
 import httptools
@@ -13,6 +14,8 @@
 
 MAX_BODY_BYTES = 64 * 1024  # messages of targets are smaller than 4 KiB
 MAX_REPLY_BYTES = 8 * 1_048_576  # list pages are about 1 MB, values at most 1 MB
+DEFLATE = "deflate"
+COMPRESSION_LEVEL = 1  # fastest
 IDLE_TIMEOUT_S = 30.0  # heartbeat intervals are at most a few seconds
 
 REASON_PHRASES = {
@@ -208,10 +211,39 @@
     return head.encode() + reply.body
 
 
-async def send_request(address, method, path, body=None, timeout_s=3.0):
+def deflated(reply):
+    """Return a reply with its body in the content encoding ``deflate`` (RFC 9110)."""
+    return HttpReply(
+        reply.status,
+        zlib.compress(reply.body, COMPRESSION_LEVEL),
+        reply.content_type,
+        {**reply.headers, "Content-Encoding": DEFLATE},
+    )
+
+
+def inflated(data):
+    """Return the decompressed data, at most `MAX_REPLY_BYTES`.
+
+    Raises
+    ------
+    ValueError
+        If the data is malformed, incomplete or too large.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        body = decompressor.decompress(data, MAX_REPLY_BYTES)
+    except zlib.error as exc:
+        raise ValueError(str(exc)) from exc
+    if not decompressor.eof:
+        raise ValueError("compressed body is incomplete or too large")
+    return body
+
+
+async def send_request(address, method, path, body=None, timeout_s=3.0, stall_s=None):
     """Send one request on a new connection and return the reply.
 
     Connections are not reused, since one that has stalled once may remain stalled.
+    A body with the content encoding ``deflate`` is decoded.
 
     Parameters
     ----------
@@ -223,6 +255,9 @@
         JSON body.
     timeout_s : float
         Timeout of the whole exchange, in seconds.
+    stall_s : float, optional
+        Timeout without progress, in seconds: without a connection, or without a
+        further byte of the reply.
 
     Returns
     -------
@@ -231,19 +266,31 @@
     Raises
     ------
     HttpError
-        If no complete reply arrives before the timeout.
+        If no complete reply arrives before the timeouts.
     """
-    connection = _ClientConnection(address, method, path, body)
     loop = asyncio.get_running_loop()
+    connection = _ClientConnection(address, method, path, body)
+    end = loop.time() + timeout_s
     try:
-        async with asyncio.timeout(timeout_s):
+        async with asyncio.timeout_at(end) as limit:
+
+            def extend():
+                if stall_s is not None:
+                    limit.reschedule(min(end, loop.time() + stall_s))
+
+            connection.on_progress = extend
+            extend()
             transport, _ = await loop.create_connection(lambda: connection, *address)
             try:
                 return await connection.reply
             finally:
+                connection.on_progress = None
                 transport.abort()
     except TimeoutError:
-        raise HttpError(f"no answer within {timeout_s} s", connection.sent) from None
+        reason = f"no answer within {timeout_s} s"
+        if stall_s is not None:
+            reason += f", or no progress within {stall_s} s"
+        raise HttpError(reason, connection.sent) from None
     except OSError as exc:
         raise HttpError(repr(exc), connection.sent) from exc
 
@@ -256,6 +303,7 @@
         self._body, self._size = [], 0
         self._headers = {}
         self.sent = False
+        self.on_progress = None
         self.reply = asyncio.get_running_loop().create_future()
         # Marks the exception as retrieved; nobody awaits the reply after a timeout.
         self.reply.add_done_callback(lambda done: done.cancelled() or done.exception())
@@ -270,6 +318,8 @@
         transport.write(head.encode() + (self._request_body or b""))
 
     def data_received(self, data):
+        if self.on_progress is not None:
+            self.on_progress()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
@@ -286,14 +336,22 @@
             self._body.append(body)
 
     def on_message_complete(self):
-        if not self.reply.done():
-            reply = HttpReply(
-                self._parser.get_status_code(),
-                b"".join(self._body),
-                self._headers.get("content-type", ""),
-                self._headers,
-            )
-            self.reply.set_result(reply)
+        if self.reply.done():
+            return
+        body = b"".join(self._body)
+        if self._headers.get("content-encoding") == DEFLATE:
+            try:
+                body = inflated(body)
+            except ValueError as exc:
+                self._fail(f"malformed answer ({exc})")
+                return
+        reply = HttpReply(
+            self._parser.get_status_code(),
+            body,
+            self._headers.get("content-type", ""),
+            self._headers,
+        )
+        self.reply.set_result(reply)
 
     def connection_lost(self, exc):
         self._fail(f"connection lost ({exc!r})")
--- a/src/ryesaddle/daemons/passthrough/peers.py
+++ b/src/ryesaddle/daemons/passthrough/peers.py
@@ -5,15 +5,21 @@
 
 import msgspec
 
-from ryesaddle.daemons.passthrough.http import HttpError, HttpReply, send_request
+from ryesaddle.daemons.passthrough.http import (
+    HttpError,
+    HttpReply,
+    deflated,
+    send_request,
+)
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.config.evacuation import EvacuationState
 from ryesaddle.internal.log import event, warn
 from ryesaddle.internal.membership.directory import TargetEntry
-from ryesaddle.internal.membership.fetch_schedule import FetchSchedule
+from ryesaddle.internal.membership.fetch_schedule import FetchResult, FetchSchedule
 from ryesaddle.internal.membership.isolation import is_isolated
+from ryesaddle.internal.membership.transfer_budget import TransferBudget
 from ryesaddle.internal.routing.route import RouteTable
-from ryesaddle.internal.store.era import EraTracker
+from ryesaddle.internal.routing.route_history import RouteChange
 from ryesaddle.internal.wire.passthrough import Gossip
 
 log = logging.getLogger(__name__)
@@ -22,6 +28,8 @@
 SILENCE_TIMEOUT_S = 1.0  # four rounds of gossip
 PEER_EXPIRY_S = 15.0  # longer than any outage from which a balancer recovers
 FETCH_TIMEOUT_S = 1.0  # a peer answers within milliseconds
+# A transfer over a slow link goes on while bytes arrive, for this time at most.
+TRANSFER_TIMEOUT_S = 5.0
 STATE_PATH = "/state"
 
 
@@ -46,13 +54,50 @@
     settled_era: int = 0
 
 
+class StateRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """What a process asks of the state of a balancer.
+
+    It is the body of a POST request, whose answer is compressed. Balancers of an older
+    version ignore it, and answer with all that a GET request returns.
+
+    Attributes
+    ----------
+    version : int
+        Version of the requester's configuration; an older one is not sent.
+    change_from : int
+        Version from which to send a `RouteChange`; 0 to get all routes.
+    wants_routes : bool
+        Whether the configuration is asked for.
+    wants_entries : bool
+        Whether the entries of balancers and agents are asked for.
+    """
+
+    version: int = 0
+    change_from: int = 0
+    wants_routes: bool = True
+    wants_entries: bool = True
+
+
 class SharedState(msgspec.Struct, frozen=True):
-    """State that a balancer sends to a process that has just started."""
+    """State that a balancer sends to another process.
+
+    Attributes
+    ----------
+    routes : RouteTable or None
+        All routes; None if they are not needed, or if ``change`` leads to them.
+    balancers, targets : tuple of BalancerEntry, tuple of TargetEntry
+        Entries of all known balancers and agents.
+    evacuation : EvacuationState or None
+        The evacuated data centres, if they are known.
+    change : RouteChange or None
+        Change from the version that the requester named.
+    """
 
     routes: RouteTable | None
-    balancers: tuple[BalancerEntry, ...]
-    targets: tuple[TargetEntry, ...]
+    balancers: tuple[BalancerEntry, ...] = ()
+    targets: tuple[TargetEntry, ...] = ()
     evacuation: EvacuationState | None = None
+    change: RouteChange | None = None
 
 
 class Peers:
@@ -72,8 +117,10 @@
         Tracks the agents.
     evacuations : EvacuationMonitor
         Holds the evacuated data centres.
-    eras : EraTracker, optional
+    eras : EraTracker
         Tracks the eras of the store.
+    bound_s : float
+        Time within which a change of the configuration must take effect, in seconds.
 
     Attributes
     ----------
@@ -91,7 +138,8 @@
         route_updater,
         agent_monitor,
         evacuations,
-        eras=None,
+        eras,
+        bound_s,
     ):
         self.entry = entry
         self._incarnation = incarnation
@@ -99,12 +147,14 @@
         self._route_updater = route_updater
         self._agent_monitor = agent_monitor
         self._evacuations = evacuations
-        self._eras = eras or EraTracker()
+        self._eras = eras
         self._peers = {}
         self._last_heard = {}
         self._live_agent_counts = {}
         self._was_isolated = False
-        self._fetch_schedule = FetchSchedule()
+        self._fetch_schedule = FetchSchedule(bound_s)
+        self._transfer_budget = TransferBudget(GOSSIP_INTERVAL_S)
+        self._last_reply = None
         self._tasks = set()
         self.leaving = False
         messages.on(Gossip, self._on_gossip)
@@ -144,33 +194,93 @@
         )
         self._messages.send_all(self._peers, msg)
 
-    async def fetch_state(self, control):
-        """Fetch and apply the state of another balancer; return whether it answered."""
+    async def fetch_state(self, control, wants_entries=True):
+        """Fetch and apply the state of another balancer; return the `FetchResult`."""
+        version = self._route_updater.version
+        req = StateRequest(
+            version=version, change_from=version, wants_entries=wants_entries
+        )
+        state, result = await self._request_state(control, req)
+        if state is None:
+            return result
+        source = f"balancer {control}"
+        if state.change is not None and not self._route_updater.apply_change(
+            state.change, source
+        ):
+            event(log, "change-not-applicable", version=state.change.version)
+            req = msgspec.structs.replace(req, change_from=0)
+            state, result = await self._request_state(control, req)
+            if state is None:
+                return result
+        self._evacuations.merge(state.evacuation, source)
+        if state.routes is not None:
+            self._route_updater.install(state.routes, source)
+        self.add_entries(state.balancers)
+        self._agent_monitor.add_entries(state.targets)
+        return FetchResult.ARRIVED
+
+    async def _request_state(self, control, req):
+        """Return the `SharedState` of another balancer or None, and a `FetchResult`."""
+        body = msgspec.json.encode(req)
         try:
             reply = await send_request(
-                control, "GET", STATE_PATH, timeout_s=FETCH_TIMEOUT_S
+                control, "POST", STATE_PATH, body, TRANSFER_TIMEOUT_S, FETCH_TIMEOUT_S
             )
+            if reply.status == 503:
+                event(log, "state-source-busy", source=control)
+                return None, FetchResult.BUSY
             state = msgspec.json.decode(reply.body, type=SharedState)
         except (HttpError, msgspec.DecodeError) as exc:
             warn(log, "state-not-fetched", source=control, reason=exc)
-            return False
-        self._evacuations.merge(state.evacuation, f"balancer {control}")
-        if state.routes is not None:
-            self._route_updater.install(state.routes, f"balancer {control}")
-        self.add_entries(state.balancers)
-        self._agent_monitor.add_entries(state.targets)
-        return True
-
-    def state_reply(self):
-        """Return an `HttpReply` with the state that a starting process needs."""
-        balancers = (self.entry, *self._peers.values())
-        state = SharedState(
-            self._route_updater.routes,
-            balancers,
-            self._agent_monitor.entries(),
-            self._evacuations.state,
+            return None, FetchResult.FAILED
+        return state, FetchResult.ARRIVED
+
+    def state_reply(self, body):
+        """Return an `HttpReply` with the state that another process needs.
+
+        Parameters
+        ----------
+        body : bytes
+            A `StateRequest`. It is empty if the requester is of an older version,
+            which needs all, uncompressed.
+        """
+        if not body:
+            return HttpReply(200, msgspec.json.encode(self._state(StateRequest())))
+        try:
+            req = msgspec.json.decode(body, type=StateRequest)
+        except msgspec.DecodeError as exc:
+            warn(log, "state-request-malformed", reason=exc)
+            return HttpReply(400)
+        reply = self._encoded_state(req)
+        if self._transfer_budget.admits(len(reply.body), self._now()):
+            return reply
+        return HttpReply(503)
+
+    def _encoded_state(self, req):
+        """Return the reply to a request; the same one is encoded once."""
+        state = self._state(req)
+        if self._last_reply is None or self._last_reply[0] != state:
+            reply = deflated(HttpReply(200, msgspec.json.encode(state)))
+            self._last_reply = state, reply
+        return self._last_reply[1]
+
+    def _state(self, req):
+        routes = self._route_updater.routes if req.wants_routes else None
+        change = None
+        if routes is not None:
+            if routes.version <= req.version:
+                routes = None
+            elif req.change_from:
+                change = self._route_updater.change_since(req.change_from)
+                routes = None if change else routes
+        state = SharedState(routes, evacuation=self._evacuations.state, change=change)
+        if not req.wants_entries:
+            return state
+        return msgspec.structs.replace(
+            state,
+            balancers=(self.entry, *self._peers.values()),
+            targets=self._agent_monitor.entries(),
         )
-        return HttpReply(200, msgspec.json.encode(state))
 
     def live_names(self):
         """Return the names of the peers that have sent gossip recently."""
@@ -234,25 +344,32 @@
         self._evacuations.merge(msg.evacuation, f"balancer {msg.node}")
         self._route_updater.record_peer_read(msg.node, msg.read_age_ms / 1000, now)
         self._eras.learn(msg.store_era, now)
-        if self._should_fetch(msg, now):
-            task = asyncio.get_running_loop().create_task(self._fetch_from_peer(msg))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    async def _fetch_from_peer(self, msg):
-        if not await self.fetch_state(msg.control):
-            self._fetch_schedule.forget(msg.node)
-
-    def _should_fetch(self, msg, now):
-        return self._fetch_schedule.fetches_configuration(
-            msg.version, self._route_updater.version, now
-        ) or self._fetch_schedule.fetches_agents(
+        wants_entries = self._fetch_schedule.fetches_agents(
             msg.node,
             msg.agents_digest,
             self._agent_monitor.digest(),
             self._agent_monitor.is_complete(),
             now,
         )
+        wants_routes = self._fetch_schedule.fetches_configuration(
+            msg.version, self._route_updater.version, now
+        )
+        if wants_entries or wants_routes:
+            task = asyncio.get_running_loop().create_task(
+                self._fetch_from_peer(msg, wants_entries, wants_routes)
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _fetch_from_peer(self, msg, wants_entries, wants_routes):
+        result = FetchResult.FAILED
+        try:
+            result = await self.fetch_state(msg.control, wants_entries)
+        finally:
+            if wants_routes:
+                self._fetch_schedule.end_configuration_fetch(result, self._now())
+        if result is not FetchResult.ARRIVED:
+            self._fetch_schedule.forget(msg.node)
 
     def _now(self):
         return asyncio.get_running_loop().time()
--- a/src/ryesaddle/daemons/passthrough/route_updater.py
+++ b/src/ryesaddle/daemons/passthrough/route_updater.py
@@ -7,6 +7,7 @@
 from ryesaddle.errors import StoreError
 from ryesaddle.internal.config.reader_selection import ReaderSelection
 from ryesaddle.internal.log import event, warn
+from ryesaddle.internal.routing.route_history import RouteHistory
 
 log = logging.getLogger(__name__)
 
@@ -57,6 +58,7 @@
         self._last_read_at = None
         self._failing = False
         self._removed = OrderedDict()
+        self._history = RouteHistory()
         self.routes = None
 
     @property
@@ -138,8 +140,29 @@
             source=source,
         )
         before, self.routes = self.routes, table
+        self._history.record(before, table)
         self._record_removed(before, table)
 
+    def apply_change(self, change, source):
+        """Use the configuration that a `RouteChange` leads to.
+
+        Returns
+        -------
+        bool
+            False if the change does not apply to the current configuration.
+        """
+        if change.version <= self.version:
+            return True
+        table = None if self.routes is None else change.apply(self.routes)
+        if table is None:
+            return False
+        self.install(table, source)
+        return True
+
+    def change_since(self, version):
+        """Return the `RouteChange` from an earlier version, or None if unknown."""
+        return self._history.change_since(version, self.routes)
+
     def was_removed(self, front):
         """Return whether a newer version than one known here removed a route.
 
--- a/src/ryesaddle/daemons/passthrough/run_agent.py
+++ b/src/ryesaddle/daemons/passthrough/run_agent.py
@@ -22,6 +22,7 @@
     STATE_PATH,
     BalancerEntry,
     SharedState,
+    StateRequest,
 )
 from ryesaddle.daemons.passthrough.process import (
     BALANCER_KIND,
@@ -236,7 +237,11 @@
     for seed in settings.seeds:
         try:
             reply = await send_request(
-                seed, "GET", STATE_PATH, timeout_s=FETCH_TIMEOUT_S
+                seed,
+                "POST",
+                STATE_PATH,
+                msgspec.json.encode(StateRequest(wants_routes=False)),
+                FETCH_TIMEOUT_S,
             )
             state = msgspec.json.decode(reply.body, type=SharedState)
         except (HttpError, msgspec.DecodeError) as exc:
--- a/src/ryesaddle/daemons/passthrough/run_balancer.py
+++ b/src/ryesaddle/daemons/passthrough/run_balancer.py
@@ -29,6 +29,7 @@
 from ryesaddle.errors import StoreError
 from ryesaddle.internal.log import event, set_up_logging, warn
 from ryesaddle.internal.membership.directory import AgentDirectory, TargetEntry
+from ryesaddle.internal.membership.fetch_schedule import FetchResult
 from ryesaddle.internal.metrics import Metrics
 from ryesaddle.internal.routing.placement import Placement
 from ryesaddle.internal.store.client import StoreClient
@@ -116,6 +117,7 @@
         agent_monitor,
         evacuations,
         store.eras,
+        settings.configuration_ms / 1000,
     )
     balancer = PassthroughBalancer(
         settings,
@@ -167,7 +169,7 @@
         if req.path == ready_path:
             return HttpReply(200 if peers.is_ready() else 503)
         if req.path == STATE_PATH:
-            return peers.state_reply()
+            return peers.state_reply(req.body)
         return admin.answer(req) or HttpReply(404)
 
     server = HttpServer(handle)
@@ -231,7 +233,9 @@
     if loading.done() and loading.result():
         return
     for seed in settings.seeds:
-        if seed != settings.control and await peers.fetch_state(seed):
+        if seed == settings.control:
+            continue
+        if await peers.fetch_state(seed) is FetchResult.ARRIVED:
             return
 
 
--- a/src/ryesaddle/internal/routing/route.py
+++ b/src/ryesaddle/internal/routing/route.py
@@ -7,6 +7,8 @@
 
 from ryesaddle.internal.address import Address
 
+_encode = msgspec.msgpack.Encoder().encode
+
 
 class TrafficShare(msgspec.Struct, frozen=True, array_like=True):
     """The weight of one service among the new flows of a route."""
@@ -93,6 +95,13 @@
     def _warm_up_by_service(self):
         return dict(self.warm_up_per_s)
 
+    @cached_property
+    def digest(self):
+        """Hash of the content, whatever the order of the routes."""
+        hashes = (xxhash.xxh3_64_intdigest(_encode(item)) for item in self.routes)
+        content = (self.idle_s, self.warm_up_per_s, sum(hashes) % 2**64)
+        return xxhash.xxh3_64_intdigest(_encode(content))
+
     def find(self, front):
         """Return the `Route` of a service address, or None."""
         return self.by_address.get(front)
--- a/tests/daemons/test_http.py
+++ b/tests/daemons/test_http.py
@@ -8,6 +8,7 @@
     HttpError,
     HttpReply,
     HttpServer,
+    deflated,
     send_request,
 )
 from ryesaddle.daemons.passthrough.process import bind_tcp
@@ -31,6 +32,8 @@
         self.requests.append(req)
         if req.path == "/later":
             return asyncio.ensure_future(self.delayed_reply())
+        if req.path == "/deflated":
+            return deflated(HttpReply(200, b"text " * 1_000))
         if req.path == "/fails":
             raise RuntimeError("handler")
         return HttpReply(200, b"%s %s" % (req.path.encode(), req.body))
@@ -107,6 +110,38 @@
                 await send_request(await self.raw_server(answer), "GET", "/")
             self.assertTrue(caught.exception.sent, answer)
 
+    async def test_a_compressed_reply_is_read_as_it_was_written(self):
+        reply = await send_request(self.address, "GET", "/deflated")
+        self.assertEqual(reply.body, b"text " * 1_000)
+
+    async def test_a_compressed_reply_that_broke_off_is_an_error(self):
+        body = deflated(HttpReply(200, b"text " * 1_000)).body[:-4]
+        head = "HTTP/1.1 200 OK\r\nContent-Encoding: deflate\r\n"
+        head += f"Content-Length: {len(body)}"
+        with self.assertRaises(HttpError):
+            address = await self.raw_server(head.encode() + b"\r\n\r\n" + body)
+            await send_request(address, "GET", "/")
+
+    async def test_a_transfer_goes_on_while_bytes_arrive(self):
+        """A slow link must not make the same bytes be sent again and again."""
+
+        async def serve(reader, writer):
+            await reader.read(100)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n")
+            for _ in range(self.written):
+                writer.write(b"x")
+                await asyncio.sleep(0.05)
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        self.addCleanup(server.close)
+        address = Address(*server.sockets[0].getsockname())
+        self.written = 8
+        reply = await send_request(address, "GET", "/", timeout_s=3.0, stall_s=0.2)
+        self.assertEqual(reply.body, b"x" * 8)
+        self.written = 2
+        with self.assertRaises(HttpError):
+            await send_request(address, "GET", "/", timeout_s=3.0, stall_s=0.2)
+
     async def test_a_request_to_a_silent_server_times_out(self):
         with self.assertRaises(HttpError) as caught:
             await send_request(await self.raw_server(b""), "GET", "/", timeout_s=0.05)
--- a/tests/membership/test_fetch_schedule.py
+++ b/tests/membership/test_fetch_schedule.py
@@ -6,16 +6,23 @@
     AGENTS_FETCH_INTERVAL_S,
     AGENTS_SETTLE_S,
     CONFIGURATION_RETRY_S,
+    FetchResult,
     FetchSchedule,
 )
+from ryesaddle.internal.membership.transfer_budget import (
+    INITIAL_WINDOW_BYTES,
+    TRANSFERS_PER_INTERVAL,
+    TransferBudget,
+)
 
 GOSSIP_INTERVAL_S = 0.25
+BOUND_S = 3.0
 PEERS = [f"edge-{number}" for number in range(58)]
 
 
 class FetchScheduleTest(unittest.TestCase):
     def setUp(self):
-        self.schedule = FetchSchedule()
+        self.schedule = FetchSchedule(BOUND_S)
 
     def fetches_agents(self, peer="edge-1", digest=1, now=0.0, is_complete=True):
         return self.schedule.fetches_agents(peer, digest, 0, is_complete, now)
@@ -24,8 +31,8 @@
         fetches = [self.schedule.fetches_configuration(2, 1, 0.0) for _ in PEERS]
         self.assertEqual(sum(fetches), 1)
         self.assertTrue(fetches[0])
-        self.assertFalse(FetchSchedule().fetches_configuration(1, 1, 0.0))
-        self.assertFalse(FetchSchedule().fetches_configuration(1, 2, 0.0))
+        self.assertFalse(FetchSchedule(BOUND_S).fetches_configuration(1, 1, 0.0))
+        self.assertFalse(FetchSchedule(BOUND_S).fetches_configuration(1, 2, 0.0))
 
     def test_a_peer_that_does_not_answer_delays_a_configuration_only_briefly(self):
         self.assertTrue(self.schedule.fetches_configuration(2, 1, 0.0))
@@ -33,6 +40,27 @@
             self.schedule.fetches_configuration(2, 1, CONFIGURATION_RETRY_S)
         )
 
+    def test_slow_transfers_do_not_add_up_on_the_link(self):
+        now, started = 0.0, 0
+        while now < BOUND_S:
+            started += self.schedule.fetches_configuration(2, 1, now)
+            now += GOSSIP_INTERVAL_S
+        self.assertEqual(started, 2)
+
+    def test_versions_that_follow_each_other_fast_are_fetched_together(self):
+        now, fetches = 0.0, 0
+        while now < BOUND_S:
+            if self.schedule.fetches_configuration(2, 1, now):
+                fetches += 1
+                self.schedule.end_configuration_fetch(FetchResult.ARRIVED, now)
+            now += 0.01
+        self.assertLessEqual(fetches, 10)
+
+    def test_a_busy_peer_does_not_delay_a_configuration(self):
+        self.assertTrue(self.schedule.fetches_configuration(2, 1, 0.0))
+        self.schedule.end_configuration_fetch(FetchResult.BUSY, 0.0)
+        self.assertTrue(self.schedule.fetches_configuration(2, 1, 0.0))
+
     def test_a_fetch_of_agents_does_not_delay_a_configuration(self):
         self.assertTrue(self.fetches_agents(is_complete=False))
         self.assertTrue(self.schedule.fetches_configuration(2, 1, 0.0))
@@ -62,3 +90,17 @@
         self.assertEqual(sum(fetches), 1)
         now = AGENTS_FETCH_INTERVAL_S
         self.assertTrue(self.fetches_agents("edge-9", now=now, is_complete=False))
+
+
+class TransferBudgetTest(unittest.TestCase):
+    def setUp(self):
+        self.budget = TransferBudget(GOSSIP_INTERVAL_S)
+
+    def test_a_new_large_configuration_does_not_fill_the_link_of_its_first_holder(self):
+        size = 2 * INITIAL_WINDOW_BYTES
+        admitted = sum(self.budget.admits(size, 0.0) for _ in PEERS)
+        self.assertEqual(admitted, TRANSFERS_PER_INTERVAL)
+        self.assertTrue(self.budget.admits(size, GOSSIP_INTERVAL_S))
+
+    def test_small_differences_are_sent_to_all(self):
+        self.assertTrue(all(self.budget.admits(200, 0.0) for _ in PEERS))
