Limit transfers of state by how long they last

Cause: the limit of two large transfers an interval took no account of the link, so a fast link served as few as a slow one.

--- a/src/ryesaddle/daemons/passthrough/http.py
+++ b/src/ryesaddle/daemons/passthrough/http.py
@@ -4,6 +4,7 @@
 import logging
 import zlib
 from collections import deque
+from collections.abc import Callable
 
 import httptools
 import msgspec
@@ -63,12 +64,15 @@
         Media type of the body.
     headers : dict of str to str
         Further header fields; the names of received ones are in lower case.
+    on_closed : callable or None
+        Called when the connection on which the reply was sent is closed.
     """
 
     status: int
     body: bytes = b""
     content_type: str = "application/json"
     headers: dict[str, str] = {}
+    on_closed: Callable | None = None
 
 
 class HttpServer:
@@ -110,6 +114,7 @@
         self._idle_timer = None
         self._url, self._body, self._size = b"", [], 0
         self._replies = deque()
+        self._on_closed = []
         self._eof_received = False
 
     def close(self):
@@ -125,6 +130,8 @@
         self._connections.discard(self)
         if self._idle_timer is not None:
             self._idle_timer.cancel()
+        for callback in self._on_closed:
+            callback()
 
     def data_received(self, data):
         self._restart_idle_timer()
@@ -183,6 +190,8 @@
                     return
                 reply = _result_or_error_reply(reply)
             self._replies.popleft()
+            if reply.on_closed is not None:
+                self._on_closed.append(reply.on_closed)
             self._transport.write(_encode_reply(reply))
             if last or (self._eof_received and not self._replies):
                 self._transport.close()
@@ -239,7 +248,15 @@
     return body
 
 
-async def send_request(address, method, path, body=None, timeout_s=3.0, stall_s=None):
+async def send_request(
+    address,
+    method,
+    path,
+    body=None,
+    timeout_s=3.0,
+    stall_s=None,
+    keeps_open=False,
+):
     """Send one request on a new connection and return the reply.
 
     Connections are not reused, since one that has stalled once may remain stalled.
@@ -258,6 +275,9 @@
     stall_s : float, optional
         Timeout without progress, in seconds: without a connection, or without a
         further byte of the reply.
+    keeps_open : bool
+        Whether to leave it to this client to close the connection, so that the server
+        learns when the reply has arrived.
 
     Returns
     -------
@@ -269,7 +289,7 @@
         If no complete reply arrives before the timeouts.
     """
     loop = asyncio.get_running_loop()
-    connection = _ClientConnection(address, method, path, body)
+    connection = _ClientConnection(address, method, path, body, keeps_open)
     end = loop.time() + timeout_s
     try:
         async with asyncio.timeout_at(end) as limit:
@@ -296,8 +316,10 @@
 
 
 class _ClientConnection(asyncio.Protocol):
-    def __init__(self, address, method, path, body):
+    def __init__(self, address, method, path, body, keeps_open):
         self._head = f"{method} {path} HTTP/1.1\r\nHost: {address}\r\n"
+        if not keeps_open:
+            self._head += "Connection: close\r\n"
         self._request_body = body
         self._parser = httptools.HttpResponseParser(self)
         self._body, self._size = [], 0
@@ -314,7 +336,7 @@
         if self._request_body is not None:
             head += "Content-Type: application/json\r\n"
             head += f"Content-Length: {len(self._request_body)}\r\n"
-        head += "Connection: close\r\n\r\n"
+        head += "\r\n"
         transport.write(head.encode() + (self._request_body or b""))
 
     def data_received(self, data):
--- a/src/ryesaddle/daemons/passthrough/peers.py
+++ b/src/ryesaddle/daemons/passthrough/peers.py
@@ -17,7 +17,7 @@
 from ryesaddle.internal.membership.directory import TargetEntry
 from ryesaddle.internal.membership.fetch_schedule import FetchResult, FetchSchedule
 from ryesaddle.internal.membership.isolation import is_isolated
-from ryesaddle.internal.membership.transfer_budget import TransferBudget
+from ryesaddle.internal.membership.transfer_slots import TransferSlots
 from ryesaddle.internal.routing.route import RouteTable
 from ryesaddle.internal.routing.route_history import RouteChange
 from ryesaddle.internal.wire.passthrough import Gossip
@@ -153,7 +153,7 @@
         self._live_agent_counts = {}
         self._was_isolated = False
         self._fetch_schedule = FetchSchedule(bound_s)
-        self._transfer_budget = TransferBudget(GOSSIP_INTERVAL_S)
+        self._transfer_slots = TransferSlots(FETCH_TIMEOUT_S)
         self._last_reply = None
         self._tasks = set()
         self.leaving = False
@@ -224,7 +224,13 @@
         body = msgspec.json.encode(req)
         try:
             reply = await send_request(
-                control, "POST", STATE_PATH, body, TRANSFER_TIMEOUT_S, FETCH_TIMEOUT_S
+                control,
+                "POST",
+                STATE_PATH,
+                body,
+                TRANSFER_TIMEOUT_S,
+                FETCH_TIMEOUT_S,
+                keeps_open=True,
             )
             if reply.status == 503:
                 event(log, "state-source-busy", source=control)
@@ -251,10 +257,13 @@
         except msgspec.DecodeError as exc:
             warn(log, "state-request-malformed", reason=exc)
             return HttpReply(400)
-        reply = self._encoded_state(req)
-        if self._transfer_budget.admits(len(reply.body), self._now()):
-            return reply
-        return HttpReply(503)
+        slot = self._transfer_slots.acquire(self._now())
+        if slot is None:
+            return HttpReply(503)
+        return msgspec.structs.replace(
+            self._encoded_state(req),
+            on_closed=lambda: self._transfer_slots.release(slot),
+        )
 
     def _encoded_state(self, req):
         """Return the reply to a request; the same one is encoded once."""
--- a/tests/daemons/test_http.py
+++ b/tests/daemons/test_http.py
@@ -70,6 +70,22 @@
         bodies = [part.rpartition(b"\r\n\r\n")[2] for part in answer.split(b"HTTP/1.1")]
         self.assertEqual(bodies[1:], [b"later", b"/b ", b"/c "])
 
+    async def test_the_server_learns_when_a_reply_has_arrived(self):
+        closed = asyncio.Event()
+        reply = HttpReply(200, b"x" * 5_000_000, on_closed=closed.set)
+        server = HttpServer(lambda req: reply)
+        sock = bind_tcp((HOST, 0))
+        await server.open(sock)
+        self.addCleanup(server.close)
+        address = Address(*sock.getsockname())
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await reader.readexactly(1_000)
+        self.assertFalse(closed.is_set())
+        writer.close()
+        await send_request(address, "GET", "/", keeps_open=True)
+        await asyncio.wait_for(closed.wait(), 3.0)
+
     async def test_a_malformed_request_is_refused(self):
         with self.assertLogs(http.log, "WARNING"):
             answer = await self.send_raw(b"not http at all\r\n\r\n")
