Take no new flow on an evacuation state that may have run out

Change: Standstill detects that a process got no time for over 1 s. The agent takes no new flow then until a balancer has told it the state again. A balancer that stood still itself tells none until it has asked the store or a peer. Where no evacuations are read, nothing changes.

--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -93,6 +93,7 @@
         self._lookups = FlowLookups()
         self._lookup_results_due = False
         self._target_silent = False
+        self._was_awaiting_evacuations = False
         messages.on(ForwardedPacket, self._on_forwarded_packet)
         messages.on(FlowQuery, self._on_flow_query)
         messages.on(FlowLookup, self._on_flow_lookup)
@@ -310,6 +311,7 @@
 
     def run_periodic_checks(self):
         """Check the target, the queue and adopted flows once."""
+        self._check_standstill()
         self._check_target()
         self._process_queue()
         self._confirm_adopted_flows()
@@ -328,6 +330,15 @@
                 self._flows.record_adopted(flow, now)
                 self._send_flow_location(forwarded, flow)
 
+    def _check_standstill(self):
+        """Report that this process has stood still, and what ends it."""
+        awaits_evacuations = self._router.awaits_evacuations(self._now())
+        if awaits_evacuations == self._was_awaiting_evacuations:
+            return
+        self._was_awaiting_evacuations = awaits_evacuations
+        event(log, "stood-still" if awaits_evacuations else "evacuations-confirmed")
+        self._reporter.report()
+
     def _check_target(self):
         """Report a change of the target's responsiveness.
 
--- a/src/ryesaddle/daemons/passthrough/agent_monitor.py
+++ b/src/ryesaddle/daemons/passthrough/agent_monitor.py
@@ -150,7 +150,7 @@
                 draining,
                 report_interval_s(len(self._directory)),
                 store_era=self._eras.era,
-                evacuation=self._evacuations.state,
+                evacuation=self._evacuations.confirmed_state(),
                 warm_up_per_s=routes.warm_up_rate(report.service) if routes else -1.0,
             )
             self._messages.send(report.address, ack)
--- a/src/ryesaddle/daemons/passthrough/peers.py
+++ b/src/ryesaddle/daemons/passthrough/peers.py
@@ -189,7 +189,7 @@
             agents_digest=self._agent_monitor.digest(),
             live_agent_count=len(self._agent_monitor.live_names()),
             leaving=self.leaving,
-            evacuation=self._evacuations.state,
+            evacuation=self._evacuations.confirmed_state(),
             store_era=self._eras.era,
         )
         self._messages.send_all(self._peers, msg)
@@ -282,7 +282,9 @@
             elif req.change_from:
                 change = self._route_updater.change_since(req.change_from)
                 routes = None if change else routes
-        state = SharedState(routes, evacuation=self._evacuations.state, change=change)
+        state = SharedState(
+            routes, evacuation=self._evacuations.confirmed_state(), change=change
+        )
         if not req.wants_entries:
             return state
         return msgspec.structs.replace(
--- a/src/ryesaddle/daemons/passthrough/reporter.py
+++ b/src/ryesaddle/daemons/passthrough/reporter.py
@@ -187,6 +187,8 @@
         # Until then a restarted agent takes no new flow, as its target may be cold.
         if not self._router.knows_warm_up_limit:
             return True
+        if self._router.awaits_evacuations(self._now()):
+            return True
         return self._target_state.draining and not self.is_draining_recorded()
 
     def _remove_expired(self):
@@ -213,7 +215,10 @@
 
     def _merge_evacuation(self, state, addr):
         """Close or open this agent if a newer state says so; it may be None."""
-        if state is None or not self._evacuations.merge(state):
+        if state is None:
+            return
+        self._router.confirm_evacuations(self._now())
+        if not self._evacuations.merge(state):
             return
         evacuated = self._settings.data_centre in state.data_centres
         if evacuated == self._router.evacuated:
--- a/src/ryesaddle/daemons/passthrough/route_updater.py
+++ b/src/ryesaddle/daemons/passthrough/route_updater.py
@@ -123,6 +123,7 @@
         try:
             reading = await self._load_evacuations()
         except StoreError as exc:
+            self._evacuations.record_failed_reading(started)
             return exc
         self._evacuations.apply_reading(reading, started)
         return None
--- a/src/ryesaddle/internal/target/router.py
+++ b/src/ryesaddle/internal/target/router.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ryesaddle.internal.membership.standstill import Standstill
 from ryesaddle.internal.wire.passthrough import Candidate, ForwardedPacket
 
 # A target runs beside its agent and answers an opening packet within a millisecond
@@ -117,6 +118,24 @@
         self.draining = False
         self.known_to_balancers = True
         self.evacuated = False
+        self._standstill = None
+
+    def confirm_evacuations(self, now):
+        """Record that a balancer has told which data centres are evacuated.
+
+        From the first time on, this agent takes no new flow after it has stood still,
+        until a balancer has told it again.
+        """
+        if self._standstill is None:
+            self._standstill = Standstill(now)
+        self._standstill.confirm(now)
+
+    def awaits_evacuations(self, now):
+        """Whether a balancer must tell first which data centres are evacuated.
+
+        It must be called several times a second.
+        """
+        return self._standstill is not None and self._standstill.is_unconfirmed(now)
 
     def set_evacuated(self, evacuated, now):
         """Record whether the data centre of this agent is evacuated."""
@@ -133,6 +152,8 @@
         """Whether this agent accepts new flows."""
         if self.draining or self.evacuated or not self.known_to_balancers:
             return False
+        if self.awaits_evacuations(now):
+            return False
         if now < self._refused_until:
             return False
         if not self._target_state.is_open():
--- a/tests/daemons/test_route_updater.py
+++ b/tests/daemons/test_route_updater.py
@@ -17,6 +17,9 @@
     def apply_reading(self, reading, asked_at):
         self.readings.append(reading)
 
+    def record_failed_reading(self, asked_at):
+        pass
+
 
 class EvacuationReadingTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
