--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -276,6 +276,31 @@
         await deployment.open_flow(deployment.balancer_hosts[0])
         self.assertEqual(len(deployment.targets[0].opened), before)
 
+    async def test_requests_on_flows_accepted_just_before_a_stop_are_answered(self):
+        """An agent and a balancer stop; callers send their requests after that."""
+        deployment = self.deployment
+        balancer, agent = deployment.balancer_hosts[0], deployment.agent_hosts[0]
+        for target in deployment.targets:
+            target.answer_delay_s = 0.5
+        ports = [deployment.caller.new_port() for _ in range(12)]
+        to = deployment.at(balancer, "callers")
+        for port in ports:
+            deployment.caller.send(to, port, SYN, SERVICE_ADDRESSES["case-desk"])
+        await deployment.wait_until(
+            lambda: all(deployment.caller.is_open(port) for port in ports)
+        )
+        for host in (agent, balancer):
+            deployment.kill(host, signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        await asyncio.gather(
+            *(deployment.request(balancer, port, b"%d;" % port) for port in ports)
+        )
+        self.assertTrue(deployment.targets[0].answered)
+        self.assertFalse(any(deployment.caller.is_reset(port) for port in ports))
+        for host in (agent, balancer):
+            process = deployment.processes[host]
+            await deployment.wait_until(lambda process=process: process.poll() == 0)
+
     async def test_a_hang_up_signal_ends_no_process(self):
         deployment = self.deployment
         for host in (deployment.balancer_hosts[0], deployment.agent_hosts[0]):
@@ -321,6 +346,19 @@
         for _ in range(4):
             await deployment.open_flow(deployment.balancer_hosts[0])
 
+    async def test_a_balancer_that_starts_takes_the_configuration_from_another(self):
+        """The store sends 25 times as much, so hosts with thin links start late."""
+        deployment, host = self.deployment, self.deployment.balancer_hosts[0]
+        await deployment.wait_until(lambda: "event=started" in deployment.log(host))
+        logged = len(deployment.log(host))
+        deployment.kill(host)
+        deployment.start_process(host)
+        await deployment.wait_until(
+            lambda: "event=started" in deployment.log(host)[logged:]
+        )
+        line = re.search(r"event=configuration .*", deployment.log(host)[logged:])
+        self.assertIn('source="balancer ', line[0])
+
     async def test_processes_register_again_when_the_store_goes_back(self):
         deployment = self.deployment
         newer = configuration(5)
--- a/tests/support/platform_deployment.py
+++ b/tests/support/platform_deployment.py
@@ -68,6 +68,7 @@
         self.state, self.sequence = "ready", 0
         self.flows, self.opened, self.answered = set(), [], []
         self.opened_at, self.warm_up_left_ms = [], 0
+        self.answer_delay_s = 0.0
         self.acknowledged = 0
         self.drain_acknowledged = False
         self._transport = None
@@ -96,7 +97,9 @@
         elif len(data) > 36:
             self.answered.append(flow)
             body = f"{self.name}:".encode() + data[36:]
-            self.send(packet(service_address, caller, ACK, 901, 1, body))
+            answer = packet(service_address, caller, ACK, 901, 1, body)
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.answer_delay_s, self.send, answer)
         elif flags & FIN:
             self.flows.discard(flow)
             self.send(packet(service_address, caller, ACK | FIN, 902, 1))
