Start a balancer with the configuration of a seed

Change: a balancer asks its seeds first, in an order of its own, and reads the configuration from the store only if none has answered with one within 50 ms.

--- a/src/ryesaddle/daemons/passthrough/process.py
+++ b/src/ryesaddle/daemons/passthrough/process.py
@@ -50,9 +50,15 @@
         self._tasks = []
 
     def start(self, function, *args):
-        """Run a coroutine function until it returns or `close` is called."""
+        """Run a coroutine function until it returns or `close` is called.
+
+        Returns
+        -------
+        asyncio.Task
+        """
         task = asyncio.ensure_future(self._supervise(function, args))
         self._tasks.append(task)
+        return task
 
     def close(self):
         """Cancel all tasks."""
--- a/src/ryesaddle/daemons/passthrough/run_agent.py
+++ b/src/ryesaddle/daemons/passthrough/run_agent.py
@@ -55,8 +55,8 @@
 SEED_DELAY_S = 0.05  # ten times the store's usual response time
 # Half of the time within which entries must be written after a store outage.
 RELIST_INTERVAL_S = 1.0
-# A caller repeats a lost packet after 0.2 s. Without packets for longer, no answer is on
-# its way, and no request on a flow that has just been accepted.
+# A caller repeats a lost packet after 0.2 s. Without packets for longer, no answer is
+# on its way, and no request on a flow that has just been accepted.
 IDLE_BEFORE_STOP_S = 0.3
 DRAIN_POLL_S = 0.05
 
--- a/src/ryesaddle/daemons/passthrough/run_balancer.py
+++ b/src/ryesaddle/daemons/passthrough/run_balancer.py
@@ -29,7 +29,6 @@
 from ryesaddle.errors import StoreError
 from ryesaddle.internal.log import event, set_up_logging, warn
 from ryesaddle.internal.membership.directory import AgentDirectory, TargetEntry
-from ryesaddle.internal.membership.fetch_schedule import FetchResult
 from ryesaddle.internal.metrics import Metrics
 from ryesaddle.internal.routing.placement import Placement
 from ryesaddle.internal.store.client import StoreClient
@@ -180,10 +179,10 @@
     reconciler.set_desired(own_entry)
     tasks.start(reconciler.run)
     tasks.start(settings.run)
+    seeding = tasks.start(_ask_seeds, peers, route_updater, settings, rng)
     loading = asyncio.ensure_future(
-        _load_initial_state(store, route_updater, agent_monitor, peers)
+        _load_initial_state(store, route_updater, agent_monitor, peers, seeding)
     )
-    tasks.start(_ask_seeds, loading, peers, settings)
     end = loop.time() + STARTUP_TIMEOUT_S
     while loop.time() < end and not (route_updater.routes and len(directory)):
         await asyncio.sleep(STARTUP_POLL_S)
@@ -217,26 +216,35 @@
     event(log, "stopped", node=settings.node)
 
 
-async def _load_initial_state(store, route_updater, agent_monitor, peers):
-    """Read routes and entries from the store; return whether all reads succeeded."""
-    read, *listed = await asyncio.gather(
-        route_updater.read(),
+async def _load_initial_state(store, route_updater, agent_monitor, peers, seeding):
+    """List the entries, and read the configuration; return whether all were listed."""
+    *listed, _ = await asyncio.gather(
         _load_targets(store, agent_monitor),
         _load_balancers(store, peers),
+        _read_routes_without_seed(route_updater, seeding),
     )
-    return read and all(listed)
-
-
-async def _ask_seeds(loading, peers, settings):
-    """Fetch the state from a seed if the store does not answer soon."""
-    await asyncio.wait([loading], timeout=SEED_DELAY_S)
-    if loading.done() and loading.result():
-        return
-    for seed in settings.seeds:
-        if seed == settings.control:
-            continue
-        if await peers.fetch_state(seed) is FetchResult.ARRIVED:
+    return all(listed)
+
+
+async def _read_routes_without_seed(route_updater, seeding):
+    """Read the configuration from the store if no seed gives it soon.
+
+    What the store sends is 25 times as large. On a link of 10 Mbit/s, reading 1,300
+    routes delays a balancer's start by 0.2 s.
+    """
+    await asyncio.wait([seeding], timeout=SEED_DELAY_S)
+    if route_updater.routes is None:
+        await route_updater.read()
+
+
+async def _ask_seeds(peers, route_updater, settings, rng):
+    """Fetch the state from the first seed that has a configuration."""
+    # Balancers that start together would all ask the same one otherwise.
+    for seed in rng.sample(settings.seeds, len(settings.seeds)):
+        if route_updater.routes is not None:
             return
+        if seed != settings.control:
+            await peers.fetch_state(seed)
 
 
 async def _keep_complete(
