Model balancers that start late, and copies of queued flows

Cause: the load model took the decision for a further copy of a queued flow for a refusal, and let its caller come back at once. It also knew no balancers that need longer to start than others, which bind after a power loss.

Change: a copy of a queued flow waits with it. A pattern has balancers whose sockets collect packets until they start.

--- a/bench/surge.py
+++ b/bench/surge.py
@@ -82,6 +82,11 @@
         When all hosts lose power, and for how long.
     recovery_s, recovery_factor : float
         For this long after an outage, requests take ``recovery_factor`` times as long.
+    late_balancers : int
+        Number of balancers that need ``late_by_s`` longer to start after an outage.
+        The packets of their callers wait in their sockets.
+    late_by_s : float
+        That time.
     burst_at, burst_s, burst_factor : float
         When ``burst_factor`` times as many requests arrive, and for how long.
     stop_at, stop_s : float
@@ -99,6 +104,8 @@
     outage_s: float = 0.0
     recovery_s: float = 2.0
     recovery_factor: float = 1.6
+    late_balancers: int = 0
+    late_by_s: float = 0.0
     burst_at: float = math.inf
     burst_s: float = 0.0
     burst_factor: float = 1.0
@@ -111,6 +118,9 @@
 PATTERNS = {
     "calm": Pattern(),
     "power loss": Pattern(power_loss_at=4.0, outage_s=1.6),
+    "late balancers": Pattern(
+        power_loss_at=4.0, outage_s=1.0, late_balancers=3, late_by_s=1.0
+    ),
     "burst": Pattern(burst_at=4.0, burst_s=2.0, burst_factor=2.5),
     "half of the targets gone": Pattern(stop_at=4.0, stop_s=3.0, stopped_targets=4),
     "a slow target": Pattern(slow_factor=6.0),
@@ -357,7 +367,7 @@
         self._requests[flow] = [first_at, tries, "opening"]
         for copy, age_s in enumerate(COPY_DELAYS_S):
             self._schedule(
-                now + age_s + CALLER_LATENCY_S, self._route_at_balancer, flow, copy
+                now + age_s + CALLER_LATENCY_S, self._reach_balancer, flow, copy
             )
         self._schedule(now + CALLER_GIVE_UP_S, self._handle_opening_timeout, flow)
 
@@ -386,10 +396,20 @@
 
     # Balancers and agents
 
-    def _route_at_balancer(self, now, flow, copy):
+    def _reach_balancer(self, now, flow, copy):
+        """Let a packet reach its balancer, or wait in its socket until it starts."""
         if self._is_powered_off(now) or self._requests[flow][2] != "opening":
             return
-        balancer_index = hash(flow.caller.port) % self._service.balancers
+        pattern, index = self._pattern, hash(flow.caller.port) % self._service.balancers
+        starts_at = pattern.power_loss_at + pattern.outage_s
+        if index < pattern.late_balancers:
+            starts_at += pattern.late_by_s
+        if pattern.power_loss_at <= now < starts_at:
+            self._schedule(starts_at, self._route_at_balancer, flow, copy, index)
+        else:
+            self._route_at_balancer(now, flow, copy, index)
+
+    def _route_at_balancer(self, now, flow, copy, balancer_index):
         directory, placement = (
             self._directories[balancer_index],
             self._placements[balancer_index],
@@ -434,7 +454,7 @@
         match decision:
             case Deliver():
                 self._deliver(now, node, forwarded, flow, copy)
-            case Enqueue(reason="busy"):
+            case Enqueue():
                 queue.put(flow, forwarded, copy, now)
             case OfferTo(candidate=candidate, forwarded=updated):
                 args = (candidate.node, updated, flow, copy)
--- a/tests/patterns/test_surge.py
+++ b/tests/patterns/test_surge.py
@@ -27,6 +27,13 @@
                 full_policy, self.payoff("power loss", reduced_policy), reduced_policy
             )
 
+    def test_packets_that_waited_for_a_balancer_to_start_do_not_delay_new_ones(self):
+        full_policy = self.payoff("late balancers")
+        for reduced_policy in ("order of arrival", "no waiting at the agent"):
+            self.assertGreater(
+                full_policy, self.payoff("late balancers", reduced_policy)
+            )
+
     def test_in_a_burst_the_agent_queue_and_its_order_raise_the_payoff(self):
         full_policy = self.payoff("burst")
         for reduced_policy in ("order of arrival", "no waiting at the agent"):
