--- a/src/ryesaddle/daemons/quic/exchange.py
+++ b/src/ryesaddle/daemons/quic/exchange.py
@@ -207,7 +207,7 @@
         remaining_s = self._deadline - asyncio.get_running_loop().time()
         headers = target_request_fields(end_to_end_headers(req.headers), remaining_s)
         async with self._agent.upstream.exchange(
-            req.method, req.path, headers, bytes(self._body), req.is_safe
+            req.method, req.path, headers, bytes(self._body)
         ) as response:
             fields = tuple(end_to_end_headers(response.headers.items()))
             length = response.headers.get("Content-Length")
--- a/src/ryesaddle/daemons/quic/request.py
+++ b/src/ryesaddle/daemons/quic/request.py
@@ -6,7 +6,7 @@
 
 from ryesaddle.daemons.quic.header import REQUEST_ID_HEADER, TIMEOUT_HEADER
 
-SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})  # RFC 9110, section 9.2.1
 MAX_BODY_BYTES = 1_048_576
 
 
@@ -34,11 +34,6 @@
     key: str
     timeout_s: float
 
-    @property
-    def is_safe(self):
-        """Whether the method is safe to repeat (RFC 9110, section 9.2.1)."""
-        return self.method in SAFE_METHODS
-
 
 def decode_request(raw_headers, default_timeout_s):
     """Return the `Request` decoded from HTTP/3 header pairs of bytes."""
