Test that a late answer takes no packet of the next flow of its port

A target that repeats the answer of an earlier flow must not make its agent the one of the next flow. It does not: balancers that search for that flow come to its own target. The test guards it; no code changes.

--- a/tests/routing/test_passthrough.py
+++ b/tests/routing/test_passthrough.py
@@ -957,6 +957,29 @@
             for balancer in BALANCERS:
                 self.assertEqual(world.send(balancer, flow.caller), ([flow], []))
 
+    def test_a_late_answer_of_an_earlier_flow_takes_no_packet_of_the_next_one(self):
+        """A target repeats its answer after the caller has used its port again.
+
+        The answer passes unchanged, so its sequence number tells the caller that it
+        belongs to the earlier flow. The agent that forwards it must not become the
+        agent of the next flow, also for a balancer that has to search for that.
+        """
+        world, flow, number = self.open_and_drain(confirmed=True)
+        world.agents[number][1].flows.discard(flow)
+        world.send(1, flow.caller, SYN)
+        holder = world.agents[3 - number][1]
+        self.assertIs(world.target_of(flow), holder)
+        late = packet(flow.front, flow.caller, ACK, 8, data=b"answer")
+        before = len(world.answers)
+        world.agents[number][0].on_target_packet(late, None)
+        world.settle()
+        self.assertEqual(len(world.answers), before + 1)
+        world.start_balancer(2)
+        for balancer in BALANCERS:
+            for _ in range(3):
+                self.assertEqual(world.send(balancer, flow.caller), ([flow], []))
+        self.assertIs(world.target_of(flow), holder)
+
     def test_a_copy_follows_the_first_opening_packet_to_a_draining_target(self):
         # At another target it would open a second flow with the same addresses.
         for confirmed in (False, True):
