Let no seed that was cut off determine the first configuration

Cause: a balancer that starts takes the configuration of a seed and does not ask the store. A seed that is cut off from the store and from the readers may have missed a change for longer than its bound; the starting balancer would place flows by the older version until it hears a newer one.

Change: a balancer's state says for how long nobody has confirmed its configuration. Beyond half of the bound, a starting balancer asks the store, and uses the seed's version only if the store does not answer within 50 ms.

--- a/src/ryesaddle/daemons/passthrough/route_updater.py
+++ b/src/ryesaddle/daemons/passthrough/route_updater.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import logging
+import math
 from collections import OrderedDict
 
 from ryesaddle.errors import StoreError
-from ryesaddle.internal.config.reader_selection import ReaderSelection
+from ryesaddle.internal.config.reader_selection import (
+    NEVER_READ_AGE_S,
+    ReaderSelection,
+)
 from ryesaddle.internal.log import event, warn
 from ryesaddle.internal.routing.route_history import RouteHistory
 
@@ -16,7 +20,6 @@
 READS_PER_BOUND = 4
 MAX_READ_INTERVAL_S = 0.8  # two readers then cause a small share of the store's calls
 FRESH_READ_INTERVALS = 2  # one missed read does not make another balancer step in
-NEVER_READ_AGE_S = 3_600.0  # reported as the read age before the first read
 MAX_REMOVED_ROUTES = 1_024  # bounds memory; an address and a hash entry each
 
 
@@ -56,6 +59,7 @@
             node, FRESH_READ_INTERVALS * self._read_interval_s
         )
         self._last_read_at = None
+        self._confirmed_at = -math.inf
         self._failing = False
         self._removed = OrderedDict()
         self._history = RouteHistory()
@@ -72,6 +76,22 @@
             NEVER_READ_AGE_S if self._last_read_at is None else now - self._last_read_at
         )
 
+    def confirmed_age_s(self, now):
+        """Return the time for which a newer configuration may be unknown here.
+
+        It is that since the last successful read of this process or, as far as it
+        has been told, of another one.
+        """
+        return min(
+            self.read_age_s(now),
+            self._reader_selection.read_age_s(now),
+            now - self._confirmed_at,
+        )
+
+    def record_confirmation(self, age_s, now):
+        """Record the `confirmed_age_s` of another balancer whose state is used here."""
+        self._confirmed_at = max(self._confirmed_at, now - age_s)
+
     def record_peer_read(self, node, read_age_s, now):
         """Record how long ago another balancer has read the store."""
         self._reader_selection.record_read(node, read_age_s, now)
--- a/src/ryesaddle/daemons/passthrough/run_balancer.py
+++ b/src/ryesaddle/daemons/passthrough/run_balancer.py
@@ -221,30 +221,35 @@
     *listed, _ = await asyncio.gather(
         _load_targets(store, agent_monitor),
         _load_balancers(store, peers),
-        _read_routes_without_seed(route_updater, seeding),
+        _read_routes_without_seed(route_updater, peers, seeding),
     )
     return all(listed)
 
 
-async def _read_routes_without_seed(route_updater, seeding):
+async def _read_routes_without_seed(route_updater, peers, seeding):
     """Read the configuration from the store if no seed gives it soon.
 
     What the store sends is 25 times as large. On a link of 10 Mbit/s, reading 1,300
     routes delays a balancer's start by 0.2 s.
     """
     await asyncio.wait([seeding], timeout=SEED_DELAY_S)
+    if route_updater.routes is not None:
+        return
+    reading = asyncio.ensure_future(route_updater.read())
+    await asyncio.wait([reading], timeout=SEED_DELAY_S)
     if route_updater.routes is None:
-        await route_updater.read()
+        peers.use_unconfirmed_routes()
+    await reading
 
 
 async def _ask_seeds(peers, route_updater, settings, rng):
-    """Fetch the state from the first seed that has a configuration."""
+    """Fetch the state of seeds until one gives the configuration."""
     # Balancers that start together would all ask the same one otherwise.
     for seed in rng.sample(settings.seeds, len(settings.seeds)):
         if route_updater.routes is not None:
             return
         if seed != settings.control:
-            await peers.fetch_state(seed)
+            await peers.fetch_initial_state(seed)
 
 
 async def _keep_complete(
