Count a reading as a confirmation only of a version that is used here

Cause: a balancer that had heard of another one's reading counted its own configuration as confirmed, also while it had not fetched the newer version that was read.

Change: record_confirmation takes the version and ignores a newer one.

Measured: test_a_newer_version_elsewhere_confirms_nothing.

--- a/src/ryesaddle/daemons/passthrough/peers.py
+++ b/src/ryesaddle/daemons/passthrough/peers.py
@@ -244,11 +244,13 @@
             self._route_updater.install(self._unconfirmed_routes, "unconfirmed seed")
 
     def _apply_state(self, state, source):
-        if state.confirmed_age_s is not None:
-            self._route_updater.record_confirmation(state.confirmed_age_s, self._now())
         self._evacuations.merge(state.evacuation, source)
         if state.routes is not None:
             self._route_updater.install(state.routes, source)
+            if state.confirmed_age_s is not None:
+                self._route_updater.record_confirmation(
+                    state.routes.version, state.confirmed_age_s, self._now()
+                )
         self.add_entries(state.balancers)
         self._agent_monitor.add_entries(state.targets)
 
@@ -390,7 +392,9 @@
         self._last_heard[msg.address] = now
         self._live_agent_counts[msg.address] = msg.live_agent_count
         self._evacuations.merge(msg.evacuation, f"balancer {msg.node}")
-        self._route_updater.record_peer_read(msg.node, msg.read_age_ms / 1000, now)
+        read_age_s = msg.read_age_ms / 1000
+        self._route_updater.record_peer_read(msg.node, read_age_s, now)
+        self._route_updater.record_confirmation(msg.version, read_age_s, now)
         self._eras.learn(msg.store_era, now)
         wants_entries = self._fetch_schedule.fetches_agents(
             msg.node,
--- a/src/ryesaddle/daemons/passthrough/route_updater.py
+++ b/src/ryesaddle/daemons/passthrough/route_updater.py
@@ -6,10 +6,7 @@
 from collections import OrderedDict
 
 from ryesaddle.errors import StoreError
-from ryesaddle.internal.config.reader_selection import (
-    NEVER_READ_AGE_S,
-    ReaderSelection,
-)
+from ryesaddle.internal.config.reader_selection import ReaderSelection
 from ryesaddle.internal.log import event, warn
 from ryesaddle.internal.routing.route_history import RouteHistory
 
@@ -20,6 +17,7 @@
 READS_PER_BOUND = 4
 MAX_READ_INTERVAL_S = 0.8  # two readers then cause a small share of the store's calls
 FRESH_READ_INTERVALS = 2  # one missed read does not make another balancer step in
+NEVER_READ_AGE_S = 3_600.0  # reported as the read age before the first read
 MAX_REMOVED_ROUTES = 1_024  # bounds memory; an address and a hash entry each
 
 
@@ -79,18 +77,25 @@
     def confirmed_age_s(self, now):
         """Return the time for which a newer configuration may be unknown here.
 
-        It is that since the last successful read of this process or, as far as it
-        has been told, of another one.
+        It is that since a successful read of this process or, as far as it has been
+        told, of another one whose version is used here.
         """
-        return min(
-            self.read_age_s(now),
-            self._reader_selection.read_age_s(now),
-            now - self._confirmed_at,
-        )
-
-    def record_confirmation(self, age_s, now):
-        """Record the `confirmed_age_s` of another balancer whose state is used here."""
-        self._confirmed_at = max(self._confirmed_at, now - age_s)
+        return min(self.read_age_s(now), now - self._confirmed_at)
+
+    def record_confirmation(self, version, age_s, now):
+        """Record that a version was the newest one at another process.
+
+        Parameters
+        ----------
+        version : int
+            The version; it is ignored if it is not used here yet.
+        age_s : float
+            For how long nobody has confirmed it, in seconds.
+        now : float
+            Seconds on a monotonic clock.
+        """
+        if version <= self.version:
+            self._confirmed_at = max(self._confirmed_at, now - age_s)
 
     def record_peer_read(self, node, read_age_s, now):
         """Record how long ago another balancer has read the store."""
--- a/src/ryesaddle/internal/config/reader_selection.py
+++ b/src/ryesaddle/internal/config/reader_selection.py
@@ -5,7 +5,6 @@
 from ryesaddle.internal.routing.rendezvous import rank_names
 
 READER_COUNT = 2  # one may fail, lose the store or pause without delaying reads
-NEVER_READ_AGE_S = 3_600.0  # stands for the read age before the first read
 PEER_TIMEOUT_S = 1.0  # four gossip rounds
 
 
@@ -39,11 +38,6 @@
         """Record the age of another process's last read of the store, in seconds."""
         self._peers[node] = _Peer(now, read_age_s)
 
-    def read_age_s(self, now):
-        """Return the time since the last read of any other process that is known."""
-        ages = [now - peer.heard_at + peer.read_age_s for peer in self._peers.values()]
-        return min(ages, default=NEVER_READ_AGE_S)
-
     def should_read(self, now):
         """Return whether this process should read the store now."""
         recent = [
--- a/tests/daemons/test_peers.py
+++ b/tests/daemons/test_peers.py
@@ -105,10 +105,17 @@
     async def test_a_seed_that_hears_of_recent_reads_gives_the_first_version(self):
         self.source_updater.install(routes(2), "test")
         now = asyncio.get_running_loop().time()
-        self.source_updater.record_peer_read("edge-3", 0.5, now)
+        self.source_updater.record_confirmation(2, 0.5, now)
         await self.exchange(self.peers.fetch_initial_state(CONTROL))
         self.assertEqual(self.updater.version, 2)
 
+    async def test_a_newer_version_elsewhere_confirms_nothing(self):
+        self.source_updater.install(routes(2), "test")
+        now = asyncio.get_running_loop().time()
+        self.source_updater.record_confirmation(3, 0.5, now)
+        await self.exchange(self.peers.fetch_initial_state(CONTROL))
+        self.assertIsNone(self.updater.routes)
+
     async def test_a_configuration_never_goes_back(self):
         self.updater.install(routes(5), "test")
         self.source_updater.install(routes(4, ()), "test")
