Take back the start from a seed

When all processes are killed at once, each balancer asked seeds that started as well, and the store only 50 ms later: balancers listened 0.10 to 0.18 s later.

--- a/src/ryesaddle/daemons/passthrough/peers.py
+++ b/src/ryesaddle/daemons/passthrough/peers.py
@@ -91,9 +91,6 @@
         The evacuated data centres, if they are known.
     change : RouteChange or None
         Change from the version that the requester named.
-    confirmed_age_s : float or None
-        Time for which a newer configuration may be unknown to the sender, in seconds;
-        None if it is of an older version.
     """
 
     routes: RouteTable | None
@@ -101,7 +98,6 @@
     targets: tuple[TargetEntry, ...] = ()
     evacuation: EvacuationState | None = None
     change: RouteChange | None = None
-    confirmed_age_s: float | None = None
 
 
 class Peers:
@@ -156,9 +152,6 @@
         self._last_heard = {}
         self._live_agent_counts = {}
         self._was_isolated = False
-        # Half of the bound is left for what follows the start.
-        self._max_confirmed_age_s = bound_s / 2
-        self._unconfirmed_routes = None
         self._fetch_schedule = FetchSchedule(bound_s)
         self._transfer_slots = TransferSlots(FETCH_TIMEOUT_S)
         self._last_reply = None
@@ -219,40 +212,12 @@
             state, result = await self._request_state(control, req)
             if state is None:
                 return result
-        self._apply_state(state, source)
-        return FetchResult.ARRIVED
-
-    async def fetch_initial_state(self, control):
-        """Fetch and apply the state of a seed at the start of this balancer.
-
-        A seed that may have missed a change of the configuration, such as one that is
-        cut off, does not determine the first one. It is kept until the store has been
-        asked; see `use_unconfirmed_routes`.
-        """
-        state, _ = await self._request_state(control, StateRequest())
-        if state is None:
-            return
-        age_s = state.confirmed_age_s
-        if age_s is None or age_s > self._max_confirmed_age_s:
-            self._unconfirmed_routes = state.routes
-            state = msgspec.structs.replace(state, routes=None)
-        self._apply_state(state, f"balancer {control}")
-
-    def use_unconfirmed_routes(self):
-        """Use the configuration of a seed that nobody has confirmed, if any."""
-        if self._unconfirmed_routes is not None:
-            self._route_updater.install(self._unconfirmed_routes, "unconfirmed seed")
-
-    def _apply_state(self, state, source):
         self._evacuations.merge(state.evacuation, source)
         if state.routes is not None:
             self._route_updater.install(state.routes, source)
-            if state.confirmed_age_s is not None:
-                self._route_updater.record_confirmation(
-                    state.routes.version, state.confirmed_age_s, self._now()
-                )
         self.add_entries(state.balancers)
         self._agent_monitor.add_entries(state.targets)
+        return FetchResult.ARRIVED
 
     async def _request_state(self, control, req):
         """Return the `SharedState` of another balancer or None, and a `FetchResult`."""
@@ -301,7 +266,7 @@
         )
 
     def _encoded_state(self, req):
-        """Return the reply to a request; equal ones are encoded once."""
+        """Return the reply to a request; the same one is encoded once."""
         state = self._state(req)
         if self._last_reply is None or self._last_reply[0] != state:
             reply = deflated(HttpReply(200, msgspec.json.encode(state)))
@@ -317,12 +282,8 @@
             elif req.change_from:
                 change = self._route_updater.change_since(req.change_from)
                 routes = None if change else routes
-        age_s = self._route_updater.confirmed_age_s(self._now())
         state = SharedState(
-            routes,
-            evacuation=self._evacuations.confirmed_state(),
-            change=change,
-            confirmed_age_s=round(age_s / GOSSIP_INTERVAL_S) * GOSSIP_INTERVAL_S,
+            routes, evacuation=self._evacuations.confirmed_state(), change=change
         )
         if not req.wants_entries:
             return state
@@ -392,9 +353,7 @@
         self._last_heard[msg.address] = now
         self._live_agent_counts[msg.address] = msg.live_agent_count
         self._evacuations.merge(msg.evacuation, f"balancer {msg.node}")
-        read_age_s = msg.read_age_ms / 1000
-        self._route_updater.record_peer_read(msg.node, read_age_s, now)
-        self._route_updater.record_confirmation(msg.version, read_age_s, now)
+        self._route_updater.record_peer_read(msg.node, msg.read_age_ms / 1000, now)
         self._eras.learn(msg.store_era, now)
         wants_entries = self._fetch_schedule.fetches_agents(
             msg.node,
--- a/src/ryesaddle/daemons/passthrough/process.py
+++ b/src/ryesaddle/daemons/passthrough/process.py
@@ -50,15 +50,9 @@
         self._tasks = []
 
     def start(self, function, *args):
-        """Run a coroutine function until it returns or `close` is called.
-
-        Returns
-        -------
-        asyncio.Task
-        """
+        """Run a coroutine function until it returns or `close` is called."""
         task = asyncio.ensure_future(self._supervise(function, args))
         self._tasks.append(task)
-        return task
 
     def close(self):
         """Cancel all tasks."""
--- a/src/ryesaddle/daemons/passthrough/route_updater.py
+++ b/src/ryesaddle/daemons/passthrough/route_updater.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import math
 from collections import OrderedDict
 
 from ryesaddle.errors import StoreError
@@ -57,7 +56,6 @@
             node, FRESH_READ_INTERVALS * self._read_interval_s
         )
         self._last_read_at = None
-        self._confirmed_at = -math.inf
         self._failing = False
         self._removed = OrderedDict()
         self._history = RouteHistory()
@@ -74,29 +72,6 @@
             NEVER_READ_AGE_S if self._last_read_at is None else now - self._last_read_at
         )
 
-    def confirmed_age_s(self, now):
-        """Return the time for which a newer configuration may be unknown here.
-
-        It is that since a successful read of this process or, as far as it has been
-        told, of another one whose version is used here.
-        """
-        return min(self.read_age_s(now), now - self._confirmed_at)
-
-    def record_confirmation(self, version, age_s, now):
-        """Record that a version was the newest one at another process.
-
-        Parameters
-        ----------
-        version : int
-            The version; it is ignored if it is not used here yet.
-        age_s : float
-            For how long nobody has confirmed it, in seconds.
-        now : float
-            Seconds on a monotonic clock.
-        """
-        if version <= self.version:
-            self._confirmed_at = max(self._confirmed_at, now - age_s)
-
     def record_peer_read(self, node, read_age_s, now):
         """Record how long ago another balancer has read the store."""
         self._reader_selection.record_read(node, read_age_s, now)
--- a/src/ryesaddle/daemons/passthrough/run_balancer.py
+++ b/src/ryesaddle/daemons/passthrough/run_balancer.py
@@ -29,6 +29,7 @@
 from ryesaddle.errors import StoreError
 from ryesaddle.internal.log import event, set_up_logging, warn
 from ryesaddle.internal.membership.directory import AgentDirectory, TargetEntry
+from ryesaddle.internal.membership.fetch_schedule import FetchResult
 from ryesaddle.internal.metrics import Metrics
 from ryesaddle.internal.routing.placement import Placement
 from ryesaddle.internal.store.client import StoreClient
@@ -179,10 +180,10 @@
     reconciler.set_desired(own_entry)
     tasks.start(reconciler.run)
     tasks.start(settings.run)
-    seeding = tasks.start(_ask_seeds, peers, route_updater, settings, rng)
     loading = asyncio.ensure_future(
-        _load_initial_state(store, route_updater, agent_monitor, peers, seeding)
+        _load_initial_state(store, route_updater, agent_monitor, peers)
     )
+    tasks.start(_ask_seeds, loading, peers, settings)
     end = loop.time() + STARTUP_TIMEOUT_S
     while loop.time() < end and not (route_updater.routes and len(directory)):
         await asyncio.sleep(STARTUP_POLL_S)
@@ -216,40 +217,26 @@
     event(log, "stopped", node=settings.node)
 
 
-async def _load_initial_state(store, route_updater, agent_monitor, peers, seeding):
-    """List the entries, and read the configuration; return whether all were listed."""
-    *listed, _ = await asyncio.gather(
+async def _load_initial_state(store, route_updater, agent_monitor, peers):
+    """Read routes and entries from the store; return whether all reads succeeded."""
+    read, *listed = await asyncio.gather(
+        route_updater.read(),
         _load_targets(store, agent_monitor),
         _load_balancers(store, peers),
-        _read_routes_without_seed(route_updater, peers, seeding),
     )
-    return all(listed)
+    return read and all(listed)
 
 
-async def _read_routes_without_seed(route_updater, peers, seeding):
-    """Read the configuration from the store if no seed gives it soon.
-
-    What the store sends is 25 times as large. On a link of 10 Mbit/s, reading 1,300
-    routes delays a balancer's start by 0.2 s.
-    """
-    await asyncio.wait([seeding], timeout=SEED_DELAY_S)
-    if route_updater.routes is not None:
+async def _ask_seeds(loading, peers, settings):
+    """Fetch the state from a seed if the store does not answer soon."""
+    await asyncio.wait([loading], timeout=SEED_DELAY_S)
+    if loading.done() and loading.result():
         return
-    reading = asyncio.ensure_future(route_updater.read())
-    await asyncio.wait([reading], timeout=SEED_DELAY_S)
-    if route_updater.routes is None:
-        peers.use_unconfirmed_routes()
-    await reading
-
-
-async def _ask_seeds(peers, route_updater, settings, rng):
-    """Fetch the state of seeds until one gives the configuration."""
-    # Balancers that start together would all ask the same one otherwise.
-    for seed in rng.sample(settings.seeds, len(settings.seeds)):
-        if route_updater.routes is not None:
+    for seed in settings.seeds:
+        if seed == settings.control:
+            continue
+        if await peers.fetch_state(seed) is FetchResult.ARRIVED:
             return
-        if seed != settings.control:
-            await peers.fetch_initial_state(seed)
 
 
 async def _keep_complete(
--- a/src/ryesaddle/daemons/passthrough/settings.py
+++ b/src/ryesaddle/daemons/passthrough/settings.py
@@ -53,8 +53,8 @@
     store : Address
         Address of the platform's object API.
     seeds : tuple of Address
-        Control addresses of balancers. A balancer that starts asks them for the
-        configuration, an agent for its balancers while the store is unavailable.
+        Control addresses of balancers that are asked for their state while the store
+        is unavailable.
     flow_max_s : float
         Idle time after which a flow may be removed, in seconds.
     stop_limit_s : float
