Log what makes an agent forget or adopt a flow, and what a search has found

Cause: the logs could not tell the hypotheses of the reset open flow apart. A record that an agent drops leaves no line, nor does a flow that it learns from a packet of its target, and a reset with held-nowhere does not say who refused. Change: events forget (reasons target-silent and superseded) and adopt of agents; held-nowhere says how long the search took, how many agents refused, and which were the first and the last.

--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -7,7 +7,7 @@
 from ryesaddle.daemons.passthrough.target_probe import is_listening
 from ryesaddle.internal.log import event
 from ryesaddle.internal.routing.packet import Flow
-from ryesaddle.internal.target.flows import AnswerStarted, FlowOpened
+from ryesaddle.internal.target.flows import AnswerStarted, FlowAdopted, FlowOpened
 from ryesaddle.internal.target.lookups import FlowLookups
 from ryesaddle.internal.target.router import (
     Deliver,
@@ -134,8 +134,8 @@
             return
         now = self._now()
         decision = self._router.decide(forwarded, packet, now)
-        if packet.opens:
-            self._flows.remove_superseded(packet, now)
+        if packet.opens and self._flows.remove_superseded(packet, now):
+            self._log_forgotten(packet.flow, "superseded", packet.copy)
         self._execute_decision(decision, forwarded, packet)
 
     def _on_flow_query(self, query, addr):
@@ -353,6 +353,7 @@
         if is_silent:
             for forwarded in self._flows.pop_unanswered():
                 packet = self._packets.read_caller(forwarded.payload)
+                self._log_forgotten(packet.flow, "target-silent", packet.copy)
                 self._execute_decision(
                     self._router.decide_returned(forwarded), forwarded, packet
                 )
@@ -393,6 +394,14 @@
             self._on_returned_packet(packet)
             return
         match self._flows.record_target_packet(packet, self._now()):
+            case FlowAdopted():
+                event(
+                    log,
+                    "adopt",
+                    flow=packet.flow,
+                    target=self._target_state.target,
+                    reason="accepted" if packet.accepts else "sent-packet",
+                )
             case FlowOpened(elapsed_s=elapsed_s):
                 self._metrics.observe("agent.open", elapsed_s)
             case AnswerStarted(elapsed_s=elapsed_s):
@@ -457,6 +466,12 @@
             target=self._target_state.target,
         )
 
+    def _log_forgotten(self, flow, reason, copy):
+        """Log that a flow is no longer known here though the target may hold it."""
+        self._metrics.count(f"agent.forgotten.{reason}")
+        target = self._target_state.target
+        event(log, "forget", flow=flow, copy=copy, reason=reason, target=target)
+
     def _drop(self, packet, reason):
         self._metrics.count(f"agent.dropped.{reason}")
         self._log_decision("drop", packet, reason, "")
--- a/src/ryesaddle/daemons/passthrough/balancer.py
+++ b/src/ryesaddle/daemons/passthrough/balancer.py
@@ -254,7 +254,15 @@
             case NotFound():
                 self._metrics.observe("balancer.lost", now - search.started_at)
                 self._placement.forget(flow)
-                self._send_reset(waiting.packet, "held-nowhere")
+                self._send_reset(
+                    waiting.packet,
+                    "held-nowhere",
+                    search_ms=round((now - search.started_at) * 1000, 1),
+                    refusals=len(search.refused_by),
+                    # Mostly the agent that the flow was last sent to.
+                    first_refusal=next(iter(search.refused_by), ""),
+                    last_refusal=next(reversed(search.refused_by), ""),
+                )
             case PresumeHolder(node=node):
                 self._use_presumed_holder(flow, node, search)
             case Inconclusive(reason=reason):
@@ -412,7 +420,7 @@
         for waiting in search.packets[1:] if was_sent else search.packets:
             self._send_to_agent(member, waiting.payload)
 
-    def _send_reset(self, packet, reason):
+    def _send_reset(self, packet, reason, **details):
         if packet.resets:
             return
         answer = self._packets.reset(packet)
@@ -426,6 +434,7 @@
             copy=packet.copy,
             reason=reason,
             configuration=self._route_updater.version,
+            **details,
         )
 
     def _drop(self, packet, reason):
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -32,6 +32,10 @@
     elapsed_s: float
 
 
+class FlowAdopted(msgspec.Struct, frozen=True):
+    """The target has sent a packet of a flow that was not known."""
+
+
 class AnswerStarted(msgspec.Struct, frozen=True):
     """The target has begun to answer a request, ``elapsed_s`` seconds after it."""
 
@@ -179,9 +183,14 @@
         return self._is_copy(packet.flow, packet.sequence_number, now)
 
     def remove_superseded(self, packet, now):
-        """Forget the flow whose port the caller reuses for a new opening packet."""
-        if not self.is_copy(packet, now):
-            self._drop(packet.flow)
+        """Forget the flow whose port the caller reuses for a new opening packet.
+
+        Returns whether a flow was known.
+        """
+        if packet.flow not in self._flows or self.is_copy(packet, now):
+            return False
+        self._drop(packet.flow)
+        return True
 
     def record_opening(
         self, flow, now, opening=None, timeout_s=DEFAULT_TIMEOUT_S, sequence_number=0
@@ -257,16 +266,17 @@
 
         Returns
         -------
-        FlowOpened, AnswerStarted or None
-            Whether it is the first answer to an opening packet, or the first data of
-            an answer to a request.
+        FlowAdopted, FlowOpened, AnswerStarted or None
+            Whether the flow was not known, whether it is the first answer to an
+            opening packet, or the first data of an answer to a request.
         """
         self._unanswered_since = None
         record = self._flows.get(packet.flow)
         if record is None:
-            if not packet.resets:
-                self.record_adopted(packet.flow, now)
-            return None
+            if packet.resets:
+                return None
+            self.record_adopted(packet.flow, now)
+            return FlowAdopted()
         self._touch(packet.flow, record, now)
         is_first = record.opening_packet is not None
         record.opening_packet, record.accepted = None, True
