Recognize copies of an opening packet that the target accepts late

Callers saw an open flow reset by a balancer although its target served, within milliseconds of its opening and some 0.6 s after the first packet of it.

Cause: an agent that gives an opening packet to other agents, because its target has been silent for 0.1 s or has returned one of two copies, drops the record of the flow. If the target then accepts the flow after all, the agent learns of it from the answer, but no longer knows which opening packet opened it. The next copy counts as a new flow of the same port: the record is dropped, the copy is queued or passed on, and the agent, which knows all flows of its target, says that the target does not hold the flow. The balancer asks the others, and resets the flow as held-nowhere.

Change: the agent remembers the sequence number of such an opening packet for as long as copies may arrive, and restores it if the target accepts the flow.

--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -119,6 +119,9 @@
         self._complete_from = started_at + max_age_s
         self._flows = OrderedDict()
         self._opening = OrderedDict()
+        # Flows whose opening packet was given to other agents though the target may
+        # still accept it: its sequence number, and when it was sent to the target.
+        self._withdrawn = OrderedDict()
         self._in_flight = 0
         self._running = 0  # requests whose data was sent to the target
         self._work = WorkEstimate()
@@ -215,6 +218,7 @@
         if self._is_copy(flow, sequence_number, now):
             return
         self._drop(flow)
+        self._withdrawn.pop(flow, None)
         self._flows[flow] = _FlowRecord(now, opening, timeout_s, sequence_number)
         self._opening[flow] = now
         self._in_flight += 1
@@ -276,6 +280,7 @@
             if packet.resets:
                 return None
             self.record_adopted(packet.flow, now)
+            self._restore_opening(packet.flow)
             return FlowAdopted()
         self._touch(packet.flow, record, now)
         is_first = record.opening_packet is not None
@@ -312,8 +317,10 @@
         """
         self._unanswered_since = None
         record = self._flows.get(flow)
-        if opens and record is not None and record.accepted:
-            return
+        if opens and record is not None:
+            if record.accepted:
+                return
+            self._withdraw(flow, record)
         self._drop(flow)
 
     def unanswered_s(self, now):
@@ -332,6 +339,7 @@
         flows = [f for f, r in self._flows.items() if r.opening_packet is not None]
         openings = [self._flows[flow].opening_packet for flow in flows]
         for flow in flows:
+            self._withdraw(flow, self._flows[flow])
             self._drop(flow)
         return openings
 
@@ -348,6 +356,11 @@
             if now - record.active_at < idle_s:
                 break
             self._drop(flow)
+        while self._withdrawn:
+            flow, (_, sent_at) = next(iter(self._withdrawn.items()))
+            if now - sent_at < COPY_PERIOD_S:
+                break
+            del self._withdrawn[flow]
         timed_out = []
         for flow, record in self._flows.items():
             if record.in_flight and now - record.in_flight_since > record.timeout_s:
@@ -435,6 +448,19 @@
             self._drop(next(iter(self._flows)))
             self._complete_from = now + self._max_age_s
 
+    def _withdraw(self, flow, record):
+        self._withdrawn[flow] = (record.opening_sequence_number, record.opened_at)
+        self._withdrawn.move_to_end(flow)
+        if len(self._withdrawn) > MAX_FLOWS:
+            self._withdrawn.popitem(last=False)
+
+    def _restore_opening(self, flow):
+        """Restore which opening packet opened a flow, so that its copies are known."""
+        if flow in self._withdrawn:
+            record = self._flows[flow]
+            number, sent_at = self._withdrawn.pop(flow)
+            record.opening_sequence_number, record.opened_at = number, sent_at
+
     def _drop(self, flow):
         self._opening.pop(flow, None)
         record = self._flows.pop(flow, None)
--- a/tests/routing/test_opening.py
+++ b/tests/routing/test_opening.py
@@ -14,7 +14,7 @@
 )
 
 from ryesaddle.daemons.passthrough.agent import CHECK_INTERVAL_S
-from ryesaddle.internal.target.router import UNRESPONSIVE_AFTER_S
+from ryesaddle.internal.target.router import REFUSAL_BACKOFF_S, UNRESPONSIVE_AFTER_S
 from tests.support.opening import FLOW, OpeningSimulation
 
 BALANCERS = (1, 2)
@@ -139,6 +139,24 @@
         world.drain(agent)
         self.assert_not_reset(world, 2)
 
+    def test_a_copy_does_not_reset_a_flow_of_which_the_first_packet_was_returned(self):
+        world = OpeningSimulation([False, False, False])
+        world.send_copy(1)
+        world.send_copy(1)
+        ((_, agent),) = world.links
+        number = int(agent.removeprefix("side-"))
+        target = world.agents[number][1]
+        for refuses in (True, False):
+            world.deliver(("edge-1", agent))
+            target.refuses = refuses
+            world.deliver((agent, f"target-{number}"))
+        for _ in range(2):
+            world.deliver((f"target-{number}", agent))
+        world.advance(REFUSAL_BACKOFF_S)
+        self.send_copy_to(world, 2, number)
+        world.fill(number)
+        self.assert_not_reset(world, 2)
+
 
 class SecondTargetTest(OpeningTest):
     def test_a_target_that_was_not_chosen_does_not_reset_the_flow(self):
