Do not reset a flow whose caller chose another target

Cause: two targets accept copies of one opening packet. A packet of the flow goes to the one that the caller did not choose. If that target refuses some other flow, or has just started, its agent sends the last packet of each flow that awaits an answer once more, and takes the return of it for the end of the flow (target-ended).

Change: the agent records the sequence number with which its target accepts a flow. A flow counts as opened there once the caller acknowledges that number, or the target sends another packet of it. Only such a flow is reset when the target returns its packet; any other one goes back to the balancer, which searches for it.

--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -116,10 +116,15 @@
         Called when a target has started or refuses flows. The flow may have been lost
         with the previous target. A target returns the packets of flows that it does
         not hold, so that the agent can reset them and the callers need not wait for a
-        timeout.
+        timeout. A flow that may have opened at another target, from a copy of its
+        opening packet, is returned to the balancer instead.
         """
-        for payload in self._flows.packets_awaiting_answer():
-            self._send_to_target(payload, None)
+        for forwarded in self._flows.packets_awaiting_answer():
+            flow = self._packets.read_caller(forwarded.payload).flow
+            is_established = self._flows.is_established(flow)
+            self._send_to_target(
+                forwarded.payload, None if is_established else forwarded
+            )
         # What the previous target would have returned does not count for this one.
         self._lookups.ask_again()
         self._continue_lookups()
@@ -288,7 +293,7 @@
                 self._send_flow_location(forwarded, packet.flow)
         else:
             self._flows.record_caller_packet(
-                packet, forwarded.payload, now, self._target_state.slots
+                packet, forwarded, now, self._target_state.slots
             )
         token = self._send_to_target(forwarded.payload, forwarded)
         if forwarded.wants_location and decision.reason == "held":
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -45,24 +45,30 @@
 class _FlowRecord:
     """What was seen of one flow.
 
-    ``accepted`` means that the target has answered the opening packet, ``confirmed``
-    that the opening has completed. ``requested_at`` is the time of a request that the
-    target is working on, None without one; ``found_free_slot`` tells whether the
-    target had a free slot then, ``is_forecast`` whether the request counts for the
-    forecast.
+    ``accepted`` means that the target has answered the opening packet, with
+    ``accepted_number`` as its sequence number; ``confirmed`` that the caller has sent a
+    further packet; ``established`` that the flow is known to have opened at this
+    target. Callers also send packets to targets that accepted a copy of their opening
+    packet, but whose acceptance they do not acknowledge.
+
+    ``requested_at`` is the time of a request that the target is working on, None
+    without one; ``found_free_slot`` tells whether the target had a free slot then,
+    ``is_forecast`` whether the request counts for the forecast.
     """
 
     __slots__ = (
         "accepted",
+        "accepted_number",
         "active_at",
         "answers_begun",
         "confirmed",
         "ended",
+        "established",
         "found_free_slot",
         "in_flight",
         "in_flight_since",
         "is_forecast",
-        "last_payload",
+        "last_packet",
         "last_position",
         "opened_at",
         "opening_packet",
@@ -73,18 +79,20 @@
 
     def __init__(self, now, opening_packet, timeout_s, opening_sequence_number=None):
         self.accepted = False
+        self.accepted_number = None
         self.active_at = now
         self.answers_begun = 0
         self.in_flight = True
         self.confirmed = False
         self.ended = False
+        self.established = False
         self.opened_at = now
         self.found_free_slot = False
         self.is_forecast = False
         self.requested_at = None
         self.opening_packet = opening_packet
         self.opening_sequence_number = opening_sequence_number
-        self.last_payload = None
+        self.last_packet = None
         self.last_position = None
         self.timeout_s = timeout_s
         self.in_flight_since = now
@@ -231,15 +239,15 @@
             record.in_flight, record.accepted, record.confirmed = False, True, True
             self._bound_flows(now)
 
-    def record_caller_packet(self, packet, payload, now, slots=1):
+    def record_caller_packet(self, packet, forwarded, now, slots=1):
         """Record a packet of an open flow that was sent to the target.
 
         Parameters
         ----------
         packet : Packet
             The packet.
-        payload : bytes
-            Its datagram, to be sent again if the target has started anew.
+        forwarded : ForwardedPacket
+            Its envelope, to be sent again if the target has started anew.
         now : float
             Seconds on a monotonic clock.
         slots : int
@@ -253,6 +261,9 @@
         if opened_at is not None:
             self._opening_s += SMOOTHING * (now - opened_at - self._opening_s)
         record.confirmed = True
+        if record.accepted_number is not None:
+            expected = (record.accepted_number + 1) & 0xFFFFFFFF
+            record.established |= packet.ack_number == expected
         if packet.has_data and self._has_new_data(record, packet):
             record.last_position = packet.sequence_number
             if not record.in_flight and not record.ended:
@@ -261,7 +272,7 @@
             if record.in_flight and record.requested_at is None:
                 self._start_request(record, slots, now)
         if record.in_flight:
-            record.last_payload = payload
+            record.last_packet = forwarded
         if packet.resets:
             self._drop(packet.flow)
 
@@ -279,12 +290,15 @@
         if record is None:
             if packet.resets:
                 return None
-            self.record_adopted(packet.flow, now)
-            self._restore_opening(packet.flow)
+            self._adopt_sender(packet, now)
             return FlowAdopted()
         self._touch(packet.flow, record, now)
         is_first = record.opening_packet is not None
         record.opening_packet, record.accepted = None, True
+        if packet.accepts:
+            record.accepted_number = packet.sequence_number
+        else:
+            record.established = True
         record.ended = record.ended or packet.ends
         elapsed_s = now - record.in_flight_since
         is_served = (packet.has_data or packet.ends) and record.in_flight
@@ -369,12 +383,15 @@
                     timed_out.append(flow)
         return timed_out
 
+    def is_established(self, flow):
+        """Whether a flow is known to have opened at this target and at no other."""
+        record = self._flows.get(flow)
+        return record is not None and record.established
+
     def packets_awaiting_answer(self):
-        """Return the last packet of each flow whose caller awaits an answer."""
+        """Return the envelope of the last packet of each flow that awaits an answer."""
         return [
-            r.last_payload
-            for r in self._flows.values()
-            if r.in_flight and r.last_payload
+            r.last_packet for r in self._flows.values() if r.in_flight and r.last_packet
         ]
 
     def describe(self, caller, now):
@@ -434,7 +451,7 @@
 
     def _set_in_flight(self, record, in_flight):
         if not in_flight:
-            record.last_payload = None
+            record.last_packet = None
             if record.requested_at is not None:
                 record.requested_at = None
                 self._running -= 1
@@ -454,11 +471,15 @@
         if len(self._withdrawn) > MAX_FLOWS:
             self._withdrawn.popitem(last=False)
 
-    def _restore_opening(self, flow):
-        """Restore which opening packet opened a flow, so that its copies are known."""
-        if flow in self._withdrawn:
-            record = self._flows[flow]
-            number, sent_at = self._withdrawn.pop(flow)
+    def _adopt_sender(self, packet, now):
+        """Record a flow from a packet of the target, and which packet opened it."""
+        self.record_adopted(packet.flow, now)
+        record = self._flows[packet.flow]
+        record.established = not packet.accepts
+        if packet.accepts:
+            record.accepted_number = packet.sequence_number
+        if packet.flow in self._withdrawn:
+            number, sent_at = self._withdrawn.pop(packet.flow)
             record.opening_sequence_number, record.opened_at = number, sent_at
 
     def _drop(self, flow):
--- a/src/ryesaddle/platform/packet.py
+++ b/src/ryesaddle/platform/packet.py
@@ -55,7 +55,7 @@
         fields = _unpack_header(data)
         if fields is None:
             return None
-        _, ack, echo, size, _, src, dst, dport, sport, flags, _ = fields
+        seq, ack, echo, size, _, src, dst, dport, sport, flags, _ = fields
         ends = bool(flags & _FIN)
         resets = bool(flags & _RST)
         if flags & _BOUNCED:
@@ -77,6 +77,7 @@
             has_data=size > 0,
             ends=ends,
             resets=resets,
+            sequence_number=seq,
         )
 
     def with_token(self, data, token):
--- a/tests/target/test_flows.py
+++ b/tests/target/test_flows.py
@@ -197,6 +197,18 @@
         flows.record_target_packet(Packet(flow(2), has_data=True), 0.02)
         self.assertEqual(flows.packets_awaiting_answer(), [b"one"])
 
+    def test_a_flow_is_established_once_its_caller_acknowledges_this_target(self):
+        # Otherwise the flow would be reset although another target holds it.
+        acceptance = Packet(flow(1), accepts=True, sequence_number=2**32 - 1)
+        for ack_number, is_established in ((0, True), (700, False)):
+            flows = TargetFlows()
+            flows.record_opening(flow(1), 0.0)
+            flows.record_target_packet(acceptance, 0.001)
+            self.assertFalse(flows.is_established(flow(1)))
+            sent = Packet(flow(1), has_data=True, ack_number=ack_number)
+            flows.record_caller_packet(sent, None, 0.01)
+            self.assertEqual(flows.is_established(flow(1)), is_established)
+
 
 class FlowsMachine(RuleBasedStateMachine):
     """Sends packets of any kind in any order, as if some were lost."""
