Reset no opening packet that has waited at an agent

Callers saw an open flow reset as too-many or, while a data centre was evacuated, as evacuated, although another copy of its opening packet had opened it.

Cause: both resets were given to the first copy only, as no other one can have opened the flow then.

Change: the envelope of a packet says whether it has waited. Such a packet is dropped where it would have been reset; its caller is answered by the flow that is open, or gives up by itself. A packet that a silent target has is given back as target-silent. The line forget remains for superseded flows.

--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -140,7 +140,8 @@
         now = self._now()
         decision = self._router.decide(forwarded, packet, now)
         if packet.opens and self._flows.remove_superseded(packet, now):
-            self._log_forgotten(packet.flow, "superseded", packet.copy)
+            self._metrics.count("agent.superseded")
+            event(log, "forget", flow=packet.flow, reason="superseded")
         self._execute_decision(decision, forwarded, packet)
 
     def _on_flow_query(self, query, addr):
@@ -358,10 +359,8 @@
         if is_silent:
             for forwarded in self._flows.pop_unanswered():
                 packet = self._packets.read_caller(forwarded.payload)
-                self._log_forgotten(packet.flow, "target-silent", packet.copy)
-                self._execute_decision(
-                    self._router.decide_returned(forwarded), forwarded, packet
-                )
+                decision = self._router.decide_unanswered(forwarded)
+                self._execute_decision(decision, forwarded, packet)
 
     def _process_queue(self):
         if not self._queue:
@@ -471,12 +470,6 @@
             target=self._target_state.target,
         )
 
-    def _log_forgotten(self, flow, reason, copy):
-        """Log that a flow is no longer known here though the target may hold it."""
-        self._metrics.count(f"agent.forgotten.{reason}")
-        target = self._target_state.target
-        event(log, "forget", flow=flow, copy=copy, reason=reason, target=target)
-
     def _drop(self, packet, reason):
         self._metrics.count(f"agent.dropped.{reason}")
         self._log_decision("drop", packet, reason, "")
--- a/src/ryesaddle/daemons/passthrough/balancer.py
+++ b/src/ryesaddle/daemons/passthrough/balancer.py
@@ -173,20 +173,32 @@
         )
         member = next((m for m in order if m.node not in forwarded.asked), None)
         if member is None:
-            self._refuse(packet, forwarded.service, "no-open-member", forwarded.asked)
+            self._refuse(packet, forwarded.service, "no-open-member", forwarded)
         else:
             self._send_opening_packet(packet, forwarded, member, "returned")
 
-    def _refuse(self, packet, service, reason, asked=()):
+    def _refuse(self, packet, service, reason, returned=None):
         """Reset a new flow whose service is evacuated; drop any other one.
 
         Another agent may have opened the flow from an earlier copy of the packet, or
-        from a later one while an agent queued this copy. A reset would end the flow
+        from a later one while this one waited at an agent. A reset would end the flow
         there.
+
+        Parameters
+        ----------
+        packet : Packet
+            The opening packet.
+        service, reason : str
+            Service of the flow, and why no agent takes it, for the log.
+        returned : ForwardedPacket, optional
+            The envelope in which agents have returned the packet.
         """
         member = self._placement.find(packet.flow)
-        elsewhere = member is not None and member.node not in asked
-        if self._placement.is_evacuated(service) and not packet.copy and not elsewhere:
+        asked, may_be_open = (), bool(packet.copy)
+        if returned is not None:
+            asked, may_be_open = returned.asked, may_be_open or returned.may_be_open
+        may_be_open |= member is not None and member.node not in asked
+        if self._placement.is_evacuated(service) and not may_be_open:
             self._placement.forget(packet.flow)
             self._send_reset(packet, "evacuated")
         else:
--- a/src/ryesaddle/internal/target/queue.py
+++ b/src/ryesaddle/internal/target/queue.py
@@ -82,7 +82,9 @@
         """Queue a flow; a further copy of a queued flow changes nothing."""
         if flow not in self._waiting:
             self._waiting[flow] = QueuedFlow(
-                forwarded, now, estimate_first_sent_at(copy, now)
+                msgspec.structs.replace(forwarded, may_be_open=True),
+                now,
+                estimate_first_sent_at(copy, now),
             )
 
     def can_accept(self, forwarded, copy, service_s, now):
--- a/src/ryesaddle/internal/target/router.py
+++ b/src/ryesaddle/internal/target/router.py
@@ -263,6 +263,11 @@
         """Return the decision for a packet that the target did not accept."""
         return self._return_to_balancer(forwarded, "not-held")
 
+    def decide_unanswered(self, forwarded):
+        """Return the decision for an opening packet that a silent target has."""
+        forwarded = msgspec.structs.replace(forwarded, may_be_open=True)
+        return self._return_to_balancer(forwarded, "target-silent")
+
     def pop_next(self, now):
         """Return the next queued flow for the target and its `QueuedFlow`, or None."""
         if not self.is_open(now) or not self.has_capacity(now):
@@ -290,9 +295,11 @@
             return Deliver("least-loaded", notify_balancer)
         if self._queue.can_accept(forwarded, packet.copy, self._flows.service_s, now):
             return Enqueue("busy", notify_balancer)
-        # An earlier copy may have opened the flow at another agent, and a reset would
-        # end it there. Only the first copy can be rejected safely.
-        return Drop("too-late") if packet.copy else Reject("too-many")
+        # Another copy may have opened the flow at another agent, and a reset would end
+        # it there. Only the first copy can be rejected safely, and only at once.
+        if packet.copy or forwarded.may_be_open:
+            return Drop("too-late")
+        return Reject("too-many")
 
     def _offer_to_next(self, forwarded, packet, notify_balancer, now):
         best, best_load = self._this_agent, self.load(now)
