Keep a flow that its target has ended when a copy of its opening arrives

Callers saw an open flow reset by a balancer: the target had closed its side after the answer, and the caller's next packets, its acknowledgement among them, were reset.

Cause: a late copy of the opening packet, queued at another agent until then, arrives at the agent of the flow. A flow that its target has ended counts as over, so that the copy is taken for a new flow of the same port: the record is dropped, and the agent says that its target does not hold the flow, as in the fault of flows accepted late.

Change: an opening packet with the number of the recorded one is no new flow within the time of copies, whether or not the target has ended the flow. It is dropped.

Evidence: the new test of QueuedCopyTest failed as held-nowhere and passes. The state machine of opening also ends flows and restarts agents and balancers.

--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -193,12 +193,23 @@
         """
         return self._is_copy(packet.flow, packet.sequence_number, now)
 
+    def has_ended(self, packet, now):
+        """Whether an opening packet is a late copy of one whose flow has ended.
+
+        The target has closed its side of the flow; its caller may have yet to.
+        """
+        record = self._flows.get(packet.flow)
+        if record is None or not record.ended:
+            return False
+        return self._was_opened_by(record, packet.sequence_number, now)
+
     def remove_superseded(self, packet, now):
         """Forget the flow whose port the caller reuses for a new opening packet.
 
         Returns whether a flow was known.
         """
-        if packet.flow not in self._flows or self.is_copy(packet, now):
+        record = self._flows.get(packet.flow)
+        if record is None or self._was_opened_by(record, packet.sequence_number, now):
             return False
         self._drop(packet.flow)
         return True
@@ -419,6 +430,10 @@
         record = self._flows.get(flow)
         if record is None or record.ended:
             return False
+        return self._was_opened_by(record, sequence_number, now)
+
+    @staticmethod
+    def _was_opened_by(record, sequence_number, now):
         return (
             record.opening_sequence_number == sequence_number
             and now - record.opened_at < COPY_PERIOD_S
--- a/src/ryesaddle/internal/target/router.py
+++ b/src/ryesaddle/internal/target/router.py
@@ -61,8 +61,7 @@
 class Drop(msgspec.Struct, frozen=True):
     """Discard the packet silently.
 
-    A reset could end a flow that another copy of the packet has opened at another
-    agent.
+    A reset could end a flow that another copy of the packet has opened.
     """
 
     reason: str
@@ -226,6 +225,8 @@
         if packet.opens:
             if self._flows.is_copy(packet, now):
                 return Deliver("held")
+            if self._flows.has_ended(packet, now):
+                return Drop("ended")
         elif packet.flow in self._flows:
             return Deliver("held")
         elif self.is_absent(now):
--- a/tests/routing/test_opening.py
+++ b/tests/routing/test_opening.py
@@ -77,6 +77,18 @@
     def drain(self, number):
         self.world.drain(number)
 
+    @rule(number=agents)
+    def restart_agent(self, number):
+        self.world.restart_agent(number)
+
+    @rule(number=balancers)
+    def restart_balancer(self, number):
+        self.world.restart_balancer(number)
+
+    @rule(number=agents)
+    def end_flow(self, number):
+        self.world.end_flow(number)
+
     @invariant()
     def no_open_flow_is_reset(self):
         if hasattr(self, "world"):
@@ -102,7 +114,7 @@
 
     def send_copy_to(self, world, balancer, agent):
         """Send a copy that a balancer forwards to an agent, as the others are full."""
-        for number in AGENTS:
+        for number in world.agents:
             if number != agent:
                 world.fill(number)
             world.report(number)
@@ -175,14 +187,14 @@
         self.assert_not_reset(world, 2)
 
 
-class RejectedCopyTest(OpeningTest):
-    def opened_from_second_copy(self):
+class QueuedCopyTest(OpeningTest):
+    def opened_from_second_copy(self, agents=AGENTS):
         """Return a world and the agent that still queues the first opening packet."""
-        world = OpeningSimulation([True, True, True])
+        world = OpeningSimulation([True for _ in agents])
         world.send_copy(1)
         world.deliver_except()
-        (queued_at,) = [n for n in AGENTS if FLOW in world.agents[n][0]._queue]
-        other = queued_at % len(AGENTS) + 1
+        (queued_at,) = [n for n in agents if FLOW in world.agents[n][0]._queue]
+        other = queued_at % len(agents) + 1
         for _ in range(4):
             world.answer_request(other)
         world.deliver_except()
@@ -207,3 +219,15 @@
         world.evacuate()
         world.advance(CHECK_INTERVAL_S)
         self.assert_not_reset(world, 2)
+
+    def test_a_packet_that_was_queued_does_not_reset_a_flow_that_its_target_ends(self):
+        world, queued_at = self.opened_from_second_copy(agents=(1, 2))
+        (holder,) = {1, 2} - {queued_at}
+        world.send_data(2)
+        world.deliver_except()
+        world.end_flow(holder)
+        world.deliver_except()
+        world.fill(holder)
+        world.drain(queued_at)
+        world.advance(CHECK_INTERVAL_S)
+        self.assert_not_reset(world, 2)
--- a/tests/support/opening.py
+++ b/tests/support/opening.py
@@ -17,6 +17,7 @@
 from ryesaddle.platform.packet import PlatformPackets
 from tests.support.packets import (
     ACK,
+    FIN,
     HEADER,
     SYN,
     packet,
@@ -230,6 +231,25 @@
         self.agents[number][1].draining = True
         self.heartbeat(number)
 
+    def restart_agent(self, number):
+        """Restart an agent, which loses its records and its queue."""
+        self._is_ordered = True
+        self.start_agent(number, SERVICE, self.agents[number][1])
+        self._is_ordered = False
+
+    def restart_balancer(self, number):
+        """Restart a balancer, which loses all it knows of flows."""
+        self._is_ordered = True
+        self.start_balancer(number)
+        self._is_ordered = False
+
+    def end_flow(self, number):
+        """Let a target end the flow after its answer; the caller has yet to."""
+        target = self.agents[number][1]
+        if FLOW in target.flows:
+            seq = target.half_open[FLOW] + 2
+            self._from_target(number, packet(FRONT, CALLER, ACK | FIN, seq))
+
     def evacuate(self):
         """Let all processes know that the data centre of all targets is evacuated."""
         for balancer in self.balancers.values():
