--- a/tests/support/opening.py
+++ b/tests/support/opening.py
@@ -1,5 +1,6 @@
 """Simulates the opening of one flow whose packets may arrive in any order."""
 
+import heapq
 from collections import deque
 
 from ryesaddle.internal.address import Address
@@ -108,7 +109,7 @@
     Attributes
     ----------
     resets_of_open_flow : list of str
-        For each reset of the flow after its caller has an answer, the process.
+        When the flow was reset after its caller had an answer.
     """
 
     def __init__(self, busy, balancers=(1, 2)):
@@ -121,7 +122,7 @@
         self.resets_of_open_flow = []
         self._data_sent = 0
         self._other_flows = 0
-        self._agent_checked_at = self._reported_at = 0.0
+        self._reported_at = 0.0
         for number in balancers:
             self.start_balancer(number)
         for number in range(1, len(busy) + 1):
@@ -263,7 +264,7 @@
         while self.now < end:
             self.now = min(end, self.now + 0.02)
             while self._timers and self._timers[0][0] <= self.now:
-                self._timers.pop(0)[2]()
+                heapq.heappop(self._timers)[2]()
             for agent, _ in self.agents.values():
                 agent.run_periodic_checks()
             if self.now >= self._reported_at + 0.2:
