Send queued packets again to an agent that has refused the flow before

Symptom: a caller's packet was lost, and only its retransmission was delivered, after the caller had used a port again and its packets had moved to another balancer.

Cause: a balancer sends a packet at once to the cached agent if that agent is silent, and searches at the same time. The agent still has a record of the earlier flow of the port. It passes the packet to its target, which returns it, and claims the flow. If the return arrives before the claim, the claim ends the search, and _finish_search takes the packet for delivered because the agent is in Search.skipped. The claim of the actual holder then finds no packet left.

Evidence: the steps open, close, report of the other agent, reuse through the second balancer, send through the first reproduce it each time; the next packet is delivered at once. Agents send the claim before they read the return, so on the platform only datagrams that overtake each other lead here.

Fix: a refusal removes the agent from Search.skipped. What it was sent on arrival has been returned, so the queued packets are sent to it again if it claims the flow. If the claim is wrong they are returned once more, the record is gone, and the next search finds the holder. The refusal itself is kept and no claim is ignored, so that no reset is added.

Result: the new test fails before and passes now; tests.routing and tests.target pass (262 tests run).

--- a/src/ryesaddle/internal/routing/search.py
+++ b/src/ryesaddle/internal/routing/search.py
@@ -285,7 +285,8 @@
         search = self._searches.get(flow)
         if search is None:
             return False
-        for nodes in (search.presumed, search.unanswered):
+        # A skipped agent that refuses has not kept what it was sent on arrival.
+        for nodes in (search.presumed, search.unanswered, search.skipped):
             nodes.discard(node)
         search.refused_by[node] = search.targets.get(node, target)
         return self._record_answer(search, node)
--- a/tests/routing/test_passthrough.py
+++ b/tests/routing/test_passthrough.py
@@ -980,6 +980,21 @@
                 self.assertEqual(world.send(balancer, flow.caller), ([flow], []))
         self.assertIs(world.target_of(flow), holder)
 
+    def test_a_packet_is_not_lost_if_its_return_overtakes_the_claim_of_a_silent_agent(
+        self,
+    ):
+        """The agent still has a record of the earlier flow of the port."""
+        world = started(1, 2)
+        world.send(1, caller(1), SYN)
+        flow = Flow(caller(1), FRONT)
+        number = next(n for n, (_, t) in world.agents.items() if flow in t.flows)
+        world.agents[number][1].flows.discard(flow)
+        world.now += 1.5
+        world.report(3 - number)
+        world.send(2, flow.caller, SYN)
+        self.assertIs(world.target_of(flow), world.agents[3 - number][1])
+        self.assertEqual(world.send(1, flow.caller), ([flow], []))
+
     def test_a_copy_follows_the_first_opening_packet_to_a_draining_target(self):
         # At another target it would open a second flow with the same addresses.
         for confirmed in (False, True):
