Judge by each packet whether a flow opened at this target

Callers that used a port again could see the new flow reset when the target of the earlier one was replaced.

Cause: a flow counted as opened at a target once the target had sent a packet of it. The record of an earlier flow of the port passed this on to packets of the next flow that a balancer sent to the same agent; the next target returned such a packet, and the agent reset the flow as target-ended.

Change: a flow counts as opened at this target if the last packet of its caller acknowledges a number near the last one of the target. Targets begin each flow with another number, and both ends have at most 16 packets in flight.

--- a/src/ryesaddle/internal/routing/packet.py
+++ b/src/ryesaddle/internal/routing/packet.py
@@ -6,6 +6,10 @@
 
 from ryesaddle.internal.address import Address
 
+# Callers and targets have at most 16 packets of 1,200 bytes in flight each way; a reset
+# may be as far from the last acknowledgement (the platform's PROTOCOL, section Flows).
+MAX_ACK_DISTANCE = 76_800
+
 
 class Flow(NamedTuple):
     """Identifies a flow by the caller's address and the service address.
@@ -35,6 +39,22 @@
         return self.caller.port
 
 
+def are_of_one_flow(number, other):
+    """Whether two numbers that count the bytes of a target can be of one flow.
+
+    Each target begins each flow with another sequence number. Flows of the same port,
+    and targets that accepted copies of one opening packet, are told apart by it.
+
+    Parameters
+    ----------
+    number, other : int
+        Sequence numbers of a target, or acknowledgement numbers of its caller, at
+        about the same time.
+    """
+    distance = (number - other) & 0xFFFFFFFF
+    return min(distance, 0x1_0000_0000 - distance) <= MAX_ACK_DISTANCE
+
+
 class Packet(msgspec.Struct, frozen=True):
     """One packet between a caller and a target.
 
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ryesaddle.internal.routing.packet import are_of_one_flow
 from ryesaddle.internal.target.work_estimate import LoadForecast, WorkEstimate
 
 # Until the first measurement: requests take 5 to 40 ms, callers are 3 ms away.
@@ -45,11 +46,12 @@
 class _FlowRecord:
     """What was seen of one flow.
 
-    ``accepted`` means that the target has answered the opening packet, with
-    ``accepted_number`` as its sequence number; ``confirmed`` that the caller has sent a
-    further packet; ``established`` that the flow is known to have opened at this
-    target. Callers also send packets to targets that accepted a copy of their opening
-    packet, but whose acceptance they do not acknowledge.
+    ``accepted`` means that the target has answered the opening packet, ``confirmed``
+    that the caller has sent a further packet. ``target_number`` is the last sequence
+    number of the target, None until it has sent a packet. ``established`` means that
+    the caller's last packet acknowledges what this target has sent. Callers also send
+    packets to targets that accepted a copy of their opening packet, but not the one
+    whose acceptance they acknowledge.
 
     ``requested_at`` is the time of a request that the target is working on, None
     without one; ``found_free_slot`` tells whether the target had a free slot then,
@@ -58,7 +60,6 @@
 
     __slots__ = (
         "accepted",
-        "accepted_number",
         "active_at",
         "answers_begun",
         "confirmed",
@@ -74,12 +75,12 @@
         "opening_packet",
         "opening_sequence_number",
         "requested_at",
+        "target_number",
         "timeout_s",
     )
 
     def __init__(self, now, opening_packet, timeout_s, opening_sequence_number=None):
         self.accepted = False
-        self.accepted_number = None
         self.active_at = now
         self.answers_begun = 0
         self.in_flight = True
@@ -90,6 +91,7 @@
         self.found_free_slot = False
         self.is_forecast = False
         self.requested_at = None
+        self.target_number = None
         self.opening_packet = opening_packet
         self.opening_sequence_number = opening_sequence_number
         self.last_packet = None
@@ -272,9 +274,9 @@
         if opened_at is not None:
             self._opening_s += SMOOTHING * (now - opened_at - self._opening_s)
         record.confirmed = True
-        if record.accepted_number is not None:
-            expected = (record.accepted_number + 1) & 0xFFFFFFFF
-            record.established |= packet.ack_number == expected
+        record.established = record.target_number is not None and are_of_one_flow(
+            packet.ack_number, record.target_number
+        )
         if packet.has_data and self._has_new_data(record, packet):
             record.last_position = packet.sequence_number
             if not record.in_flight and not record.ended:
@@ -306,10 +308,7 @@
         self._touch(packet.flow, record, now)
         is_first = record.opening_packet is not None
         record.opening_packet, record.accepted = None, True
-        if packet.accepts:
-            record.accepted_number = packet.sequence_number
-        else:
-            record.established = True
+        record.target_number = packet.sequence_number
         record.ended = record.ended or packet.ends
         elapsed_s = now - record.in_flight_since
         is_served = (packet.has_data or packet.ends) and record.in_flight
@@ -395,7 +394,7 @@
         return timed_out
 
     def is_established(self, flow):
-        """Whether a flow is known to have opened at this target and at no other."""
+        """Whether the caller is known to have opened the flow at this target."""
         record = self._flows.get(flow)
         return record is not None and record.established
 
@@ -490,9 +489,7 @@
         """Record a flow from a packet of the target, and which packet opened it."""
         self.record_adopted(packet.flow, now)
         record = self._flows[packet.flow]
-        record.established = not packet.accepts
-        if packet.accepts:
-            record.accepted_number = packet.sequence_number
+        record.target_number = packet.sequence_number
         if packet.flow in self._withdrawn:
             number, sent_at = self._withdrawn.pop(packet.flow)
             record.opening_sequence_number, record.opened_at = number, sent_at
