End a search when the port of its flow is used again

A caller that uses a port again within 2 s, through another balancer, could have its new flow reset as held-nowhere.

Cause: an opening packet ends the search for an earlier flow of the port at the balancer that gets it only. Another balancer keeps its search for 2 s with all refusals, also that of the agent at which the new flow opens.

Change: a packet whose acknowledgement number is far from that of the last packet begins another search. Targets begin each flow with another number.

Evidence: the new test fails without the change. Found by reading the code, not seen in a play.

--- a/src/ryesaddle/internal/routing/search.py
+++ b/src/ryesaddle/internal/routing/search.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from ryesaddle.internal.routing.lookup_batches import ITEM_BYTES
-from ryesaddle.internal.routing.packet import Packet
+from ryesaddle.internal.routing.packet import Packet, are_of_one_flow
 from ryesaddle.internal.store.pacing import TokenBucket
 
 # An agent normally answers within a few milliseconds. It waits up to 20 ms for its
@@ -105,6 +105,8 @@
         Whether the next step waits for the rate limit.
     last_packet_at : float
         When the caller last sent a packet, in monotonic seconds.
+    ack_number : int
+        Acknowledgement number of that packet.
     """
 
     started_at: float = 0.0
@@ -129,6 +131,7 @@
     retry_at: float = 0.0
     throttled: bool = False
     last_packet_at: float = 0.0
+    ack_number: int = 0
 
     @property
     def awaits_answer(self):
@@ -251,8 +254,13 @@
     def add(self, packet, payload, now):
         """Queue a packet; return whether `next_step` is due."""
         search = self._searches.get(packet.flow)
-        if search is None:
-            search = self._searches[packet.flow] = Search(started_at=now, asked_at=now)
+        if search is None or not (
+            packet.resets or are_of_one_flow(packet.ack_number, search.ack_number)
+        ):
+            # What agents said about an earlier flow of the port no longer counts.
+            search = self._searches[packet.flow] = Search(
+                started_at=now, asked_at=now, ack_number=packet.ack_number
+            )
             if len(self._searches) > MAX_SEARCHES:
                 self._abandoned.append(self._searches.popitem(last=False))
         if search.presumed_holder:
@@ -260,6 +268,8 @@
             search.presumed_holder = ""
             search.presumed.clear()
         search.last_packet_at = now
+        if not packet.resets:
+            search.ack_number = packet.ack_number
         self._searches.move_to_end(packet.flow)
         if len(search.packets) < MAX_QUEUED_PACKETS:
             search.packets.append(QueuedPacket(packet, payload))
--- a/tests/routing/test_search.py
+++ b/tests/routing/test_search.py
@@ -320,6 +320,17 @@
         self.searches.expire_queries(IDLE_SEARCH_TIMEOUT_S)
         self.assertEqual(len(self.searches), 0)
 
+    def test_refusals_of_an_earlier_flow_of_the_port_do_not_end_the_next_one(self):
+        def add(ack_number):
+            packet = Packet(flow(), has_data=True, ack_number=ack_number)
+            self.searches.add(packet, b"packet", 0.0)
+
+        add(5_000)
+        self.answer(self.next_step())
+        add(900_000)
+        self.assertIsInstance(self.next_step(), QueryAgents)
+        self.assertEqual(self.searches[flow()].refused_by, {})
+
 
 class RateLimitTest(SearchesCase):
     """Thousands of flows whose targets have ended are searched at once."""
