Show six orders of opening packets that still reset an open flow

The tests fail: an opening packet that its target returned is reset as too-many or evacuated although another copy has opened the flow; a copy that arrives 2 s late makes the agent forget the flow; a first packet that arrives after its copy has opened the flow is reset as too-many; a balancer that lacks a new route resets a copy.

--- a/tests/routing/test_opening.py
+++ b/tests/routing/test_opening.py
@@ -14,8 +14,10 @@
 )
 
 from ryesaddle.daemons.passthrough.agent import CHECK_INTERVAL_S
+from ryesaddle.internal.target.flows import COPY_PERIOD_S
 from ryesaddle.internal.target.router import REFUSAL_BACKOFF_S, UNRESPONSIVE_AFTER_S
 from tests.support.opening import FLOW, OpeningSimulation
+from tests.support.passthrough import routes
 
 BALANCERS = (1, 2)
 AGENTS = (1, 2, 3)
@@ -231,3 +233,100 @@
         world.drain(queued_at)
         world.advance(CHECK_INTERVAL_S)
         self.assert_not_reset(world, 2)
+
+
+class ReturnedCopyTest(OpeningTest):
+    """A target returns the first opening packet and opens the flow from another one."""
+
+    def opened_after_return(self, agent_count):
+        """Return a world and the agent whose balancer has yet to get the packet."""
+        world = OpeningSimulation([False] * agent_count)
+        world.send_copy(1)
+        world.send_copy(1)
+        ((_, agent),) = world.links
+        number = int(agent.removeprefix("side-"))
+        for refuses in (True, False):
+            world.deliver(("edge-1", agent))
+            world.agents[number][1].refuses = refuses
+            world.deliver((agent, f"target-{number}"))
+        for _ in range(2):
+            world.deliver((f"target-{number}", agent))
+        world.deliver(("", "caller"))
+        self.assertIsNotNone(world.chosen)
+        return world, number
+
+    def test_an_evacuation_does_not_reset_a_flow_that_the_returned_packet_missed(self):
+        world, _ = self.opened_after_return(3)
+        world.evacuate()
+        self.assert_not_reset(world, 2)
+
+    def test_a_full_agent_does_not_reset_a_flow_that_the_returned_packet_missed(self):
+        world, holder = self.opened_after_return(5)
+        for number in world.agents:
+            if number != holder:
+                world.fill(number)
+        with mock.patch("ryesaddle.internal.target.queue.MAX_QUEUED_FLOWS", 0):
+            self.assert_not_reset(world, 2)
+
+
+class LateCopyTest(OpeningTest):
+    """An opening packet arrives late because the process that reads it stood still."""
+
+    def deliver_except_from(self, world, sender):
+        while links := [link for link in world.links if link[0] != sender]:
+            world.deliver(links[0])
+
+    def open_before_copy_arrives(self):
+        """Return a world and the agent of the open flow; edge-2 holds a copy for it."""
+        world = OpeningSimulation([False, False, False])
+        world.send_copy(1)
+        ((_, agent),) = world.links
+        holder = int(agent.removeprefix("side-"))
+        world.deliver_except("caller")
+        self.send_copy_to(world, 2, holder)
+        self.deliver_except_from(world, "edge-2")
+        world.send_data(1)
+        self.deliver_except_from(world, "edge-2")
+        world.answer_request(holder)
+        self.deliver_except_from(world, "edge-2")
+        self.assertIsNotNone(world.target_of(FLOW))
+        return world, holder
+
+    def test_a_copy_later_than_any_does_not_reset_an_open_flow(self):
+        world, holder = self.open_before_copy_arrives()
+        world.advance(COPY_PERIOD_S)
+        world.fill(holder)
+        self.assert_not_reset(world, 1)
+
+    def test_a_copy_later_than_any_does_not_reset_a_flow_that_its_target_ended(self):
+        world, holder = self.open_before_copy_arrives()
+        world.end_flow(holder)
+        self.deliver_except_from(world, "edge-2")
+        world.advance(COPY_PERIOD_S)
+        world.fill(holder)
+        self.assert_not_reset(world, 1)
+
+    def test_a_full_agent_does_not_reset_a_flow_that_a_copy_opened_before(self):
+        world = OpeningSimulation([True] * 6)
+        world.send_copy(1)
+        world.send_copy(2)
+        (agent,) = [to for sender, to in world.links if sender == "edge-2"]
+        for _ in range(4):
+            world.answer_request(int(agent.removeprefix("side-")))
+        self.deliver_except_from(world, "edge-1")
+        self.assertIsNotNone(world.chosen)
+        with mock.patch("ryesaddle.internal.target.queue.MAX_QUEUED_FLOWS", 0):
+            self.assert_not_reset(world, 2)
+
+
+class OutdatedRoutesTest(OpeningTest):
+    def test_a_balancer_that_lacks_a_new_route_does_not_reset_a_copy(self):
+        world = OpeningSimulation([False, False, False])
+        world.route_updaters[1].install(routes(2), "test")
+        world.routes = routes(1, shares=())
+        world.restart_balancer(2)
+        world.send_copy(1)
+        world.deliver_except("caller")
+        # The caller has the acceptance before a reset that was sent after it.
+        world.send_copy(2)
+        self.assertFalse(world.was_reset)
