Reset an opening packet only until its caller sends a copy

Callers saw an open flow reset as too-many or evacuated: its target had returned the first opening packet and accepted a copy, or the first packet reached an agent after a copy had opened the flow elsewhere.

Cause: the mark that a packet has waited covered queues and silent targets only, not a packet that its target returns, and not one that waits in the socket of an agent.

An agent that can't queue a flow gives it back as too-many instead of resetting it. The mark is gone; an unknown time, also from processes of the version before, means that nothing is reset.

--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -14,7 +14,6 @@
     Drop,
     Enqueue,
     OfferTo,
-    Reject,
     ReturnToBalancer,
 )
 from ryesaddle.internal.target.sent_packets import SentPackets
@@ -264,8 +263,6 @@
                     self._log_decision("hold", packet, reason, "")
                 if notify_balancer:
                     self._send_flow_location(forwarded, packet.flow)
-            case Reject(reason=reason):
-                self._send_reset(packet, reason)
             case Drop(reason=reason):
                 self._drop(packet, reason)
             case OfferTo(candidate=candidate, forwarded=onward, reason=reason):
--- a/src/ryesaddle/daemons/passthrough/balancer.py
+++ b/src/ryesaddle/daemons/passthrough/balancer.py
@@ -17,6 +17,7 @@
     QueryAgents,
     Searches,
 )
+from ryesaddle.internal.target.queue import COPY_DELAYS_S
 from ryesaddle.internal.wire.passthrough import (
     Candidate,
     FlowLocation,
@@ -134,7 +135,7 @@
         self._searches.finish(flow)
         match self._placement.choose_agent(service, flow, packet.copy, now):
             case Discard(reason=reason):
-                self._refuse(packet, service, reason)
+                self._refuse(packet, service, reason, now)
             case Dispatch(member=member, reason=reason, others=others):
                 forwarded = ForwardedPacket(
                     service=service,
@@ -144,6 +145,7 @@
                     priority=route.priority,
                     objective_ms=round(route.objective_s * 1000),
                     timeout_ms=round(route.timeout_s * 1000),
+                    received_at=now,
                 )
                 self._send_opening_packet(packet, forwarded, member, reason)
 
@@ -173,37 +175,38 @@
         )
         member = next((m for m in order if m.node not in forwarded.asked), None)
         if member is None:
-            self._refuse(packet, forwarded.service, "no-open-member", forwarded)
+            self._refuse(
+                packet,
+                forwarded.service,
+                "no-open-member",
+                forwarded.received_at,
+                forwarded.asked,
+            )
         else:
             self._send_opening_packet(packet, forwarded, member, "returned")
 
-    def _refuse(self, packet, service, reason, returned=None):
-        """Reset a new flow whose service is evacuated; drop any other one.
-
-        Another agent may have opened the flow from an earlier copy of the packet, or
-        from a later one while this one waited at an agent. A reset would end the flow
-        there.
-
-        Parameters
-        ----------
-        packet : Packet
-            The opening packet.
-        service, reason : str
-            Service of the flow, and why no agent takes it, for the log.
-        returned : ForwardedPacket, optional
-            The envelope in which agents have returned the packet.
-        """
+    def _refuse(self, packet, service, reason, received_at, asked=()):
+        """Reject a new flow whose service is evacuated; drop any other one."""
         member = self._placement.find(packet.flow)
-        asked, may_be_open = (), bool(packet.copy)
-        if returned is not None:
-            asked, may_be_open = returned.asked, may_be_open or returned.may_be_open
-        may_be_open |= member is not None and member.node not in asked
-        if self._placement.is_evacuated(service) and not may_be_open:
-            self._placement.forget(packet.flow)
-            self._send_reset(packet, "evacuated")
+        is_elsewhere = member is not None and member.node not in asked
+        if self._placement.is_evacuated(service) and not is_elsewhere:
+            self._reject(packet, "evacuated", received_at)
         else:
             self._drop(packet, reason)
 
+    def _reject(self, packet, reason, received_at):
+        """Reset a new flow, or drop the packet if another copy may have opened it.
+
+        Only the first packet can be answered with a reset, and only until its caller
+        sends the first copy. A reset ends the flow wherever it has been opened.
+        """
+        age_s = self._now() - received_at
+        if packet.copy or age_s >= COPY_DELAYS_S[1]:
+            self._drop(packet, reason)
+        else:
+            self._placement.forget(packet.flow)
+            self._send_reset(packet, reason)
+
     # Open flows
 
     def _forward(self, packet, data, route):
@@ -359,6 +362,8 @@
         packet = self._packets.read_caller(forwarded.payload)
         if packet is None:
             self._metrics.count("balancer.malformed")
+        elif packet.opens and msg.reason == "too-many":
+            self._reject(packet, msg.reason, forwarded.received_at)
         elif packet.opens:
             self._retry_opening_packet(packet, forwarded)
         else:
--- a/src/ryesaddle/internal/target/queue.py
+++ b/src/ryesaddle/internal/target/queue.py
@@ -82,9 +82,7 @@
         """Queue a flow; a further copy of a queued flow changes nothing."""
         if flow not in self._waiting:
             self._waiting[flow] = QueuedFlow(
-                msgspec.structs.replace(forwarded, may_be_open=True),
-                now,
-                estimate_first_sent_at(copy, now),
+                forwarded, now, estimate_first_sent_at(copy, now)
             )
 
     def remove(self, flow):
--- a/src/ryesaddle/internal/target/router.py
+++ b/src/ryesaddle/internal/target/router.py
@@ -52,12 +52,6 @@
     notify_balancer: bool = False
 
 
-class Reject(msgspec.Struct, frozen=True):
-    """Reset the new flow at once, since it cannot be served in time."""
-
-    reason: str
-
-
 class Drop(msgspec.Struct, frozen=True):
     """Discard the packet silently.
 
@@ -68,7 +62,7 @@
 
 
 class ReturnToBalancer(msgspec.Struct, frozen=True):
-    """Return the packet to the balancer, which tries another agent."""
+    """Return the packet to the balancer, which tries another agent or rejects it."""
 
     reason: str
     forwarded: ForwardedPacket
@@ -266,7 +260,7 @@
 
     def decide_unanswered(self, forwarded):
         """Return the decision for an opening packet that a silent target has."""
-        forwarded = msgspec.structs.replace(forwarded, may_be_open=True)
+        forwarded = msgspec.structs.replace(forwarded, received_at=0.0)
         return self._return_to_balancer(forwarded, "target-silent")
 
     def pop_next(self, now):
@@ -296,11 +290,9 @@
             return Deliver("least-loaded", notify_balancer)
         if self._queue.can_accept(forwarded, packet.copy, self._flows.service_s, now):
             return Enqueue("busy", notify_balancer)
-        # Another copy may have opened the flow at another agent, and a reset would end
-        # it there. Only the first copy can be rejected safely, and only at once.
-        if packet.copy or forwarded.may_be_open:
+        if packet.copy:
             return Drop("too-late")
-        return Reject("too-many")
+        return self._return_to_balancer(forwarded, "too-many")
 
     def _offer_to_next(self, forwarded, packet, notify_balancer, now):
         best, best_load = self._this_agent, self.load(now)
--- a/src/ryesaddle/internal/wire/passthrough.py
+++ b/src/ryesaddle/internal/wire/passthrough.py
@@ -46,9 +46,9 @@
         Urgency; 0 is the highest.
     objective_ms, timeout_ms : int
         Latency objective, and the longest useful duration of a request.
-    may_be_open : bool
-        Whether the packet has waited at an agent. A copy of it, or the target that it
-        was sent to, may have opened the flow meanwhile, so that a reset is no answer.
+    received_at : float
+        When the balancer received the packet, in seconds on its monotonic clock; 0 if
+        that is not known, or if a target that was sent the packet may still accept it.
     """
 
     service: str
@@ -63,7 +63,7 @@
     priority: int = 9
     objective_ms: int = 0
     timeout_ms: int = 0
-    may_be_open: bool = False
+    received_at: float = 0.0
 
 
 class ReturnedPacket(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/tests/routing/test_opening.py
+++ b/tests/routing/test_opening.py
@@ -269,6 +269,29 @@
             self.assert_not_reset(world, 2)
 
 
+class RejectedFlowTest(OpeningTest):
+    def test_a_flow_that_no_agent_can_queue_is_reset_within_a_round_trip(self):
+        world = OpeningSimulation([True, True, True])
+        with mock.patch("ryesaddle.internal.target.queue.MAX_QUEUED_FLOWS", 0):
+            world.send_copy(1)
+            world.deliver_except()
+        self.assertTrue(world.was_reset)
+
+    def test_a_flow_that_a_silent_target_may_accept_is_not_reset(self):
+        world = OpeningSimulation([False, False, False])
+        world.send_copy(1)
+        ((_, agent),) = world.links
+        number = int(agent.removeprefix("side-"))
+        world.deliver(("edge-1", agent))
+        world.advance(UNRESPONSIVE_AFTER_S + CHECK_INTERVAL_S)
+        world.evacuate()
+        world.deliver((agent, "edge-1"))
+        self.assertFalse(world.was_reset)
+        world.deliver_except()
+        self.assertIn(FLOW, world.agents[number][1].half_open)
+        self.assert_not_reset(world, 1)
+
+
 class LateCopyTest(OpeningTest):
     """An opening packet arrives late because the process that reads it stood still."""
 
