Keep a flow when a copy of its opening packet is seconds late

Callers could see an open flow reset as held-nowhere after a balancer or an agent had stood still for some seconds with a copy of the opening packet unread.

Cause: after 2 s an opening packet counts as a new flow of the port, even with the same sequence number, and its agent forgets the recorded flow before the target has the packet. If the copy is queued or passed on, nothing knows the flow any more.

Change: such a packet is still decided as a new flow, since callers may begin each flow with the same number, but the recorded flow stays known. It is replaced if the packet is sent to the target, which then returns what it does not hold.

--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -138,7 +138,7 @@
             return
         now = self._now()
         decision = self._router.decide(forwarded, packet, now)
-        if packet.opens and self._flows.remove_superseded(packet, now):
+        if packet.opens and self._flows.remove_superseded(packet):
             self._metrics.count("agent.superseded")
             event(log, "forget", flow=packet.flow, reason="superseded")
         self._execute_decision(decision, forwarded, packet)
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -205,13 +205,16 @@
             return False
         return self._was_opened_by(record, packet.sequence_number, now)
 
-    def remove_superseded(self, packet, now):
+    def remove_superseded(self, packet):
         """Forget the flow whose port the caller reuses for a new opening packet.
 
+        A packet with the number of the recorded one may be a copy that was delayed, so
+        that the flow stays known until the target gets the packet.
+
         Returns whether a flow was known.
         """
         record = self._flows.get(packet.flow)
-        if record is None or self._was_opened_by(record, packet.sequence_number, now):
+        if record is None or record.opening_sequence_number == packet.sequence_number:
             return False
         self._drop(packet.flow)
         return True
