Do not reset a copy of an opening packet for want of a new route

A caller's open flow could be reset as no-route right after its opening.

Cause: a copy of the opening packet goes through a balancer that does not know a new route yet, while the first packet went through one that does.

Change: a copy without a route is dropped, unless this balancer has seen the version that removed the route. A first packet is still reset at once.

--- a/src/ryesaddle/daemons/passthrough/balancer.py
+++ b/src/ryesaddle/daemons/passthrough/balancer.py
@@ -122,10 +122,13 @@
         route = self._route_updater.routes.find(packet.flow.front)
         if not packet.opens:
             self._forward(packet, data, route)
-        elif route is None:
-            self._send_reset(packet, "no-route")
-        else:
+        elif route is not None:
             self._open_flow(packet, data, route.services(packet.flow)[0], route)
+        elif packet.copy and not self._route_updater.was_removed(packet.flow.front):
+            # A balancer that knows a newer configuration may have opened the flow.
+            self._drop(packet, "no-route")
+        else:
+            self._send_reset(packet, "no-route")
 
     # New flows
 
