--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -396,9 +396,6 @@
             return
         match self._flows.record_target_packet(packet, self._now()):
             case FlowAdopted():
-                if packet.accepts:
-                    # A copy of the opening packet would open the flow once more.
-                    self._queue.remove(packet.flow)
                 event(
                     log,
                     "adopt",
--- a/src/ryesaddle/internal/target/queue.py
+++ b/src/ryesaddle/internal/target/queue.py
@@ -85,10 +85,6 @@
                 forwarded, now, estimate_first_sent_at(copy, now)
             )
 
-    def remove(self, flow):
-        """Remove a flow, if present."""
-        self._waiting.pop(flow, None)
-
     def can_accept(self, forwarded, copy, service_s, now):
         """Whether a new flow may be queued.
 
--- a/src/ryesaddle/internal/target/sent_packets.py
+++ b/src/ryesaddle/internal/target/sent_packets.py
@@ -19,7 +19,7 @@
         The packet.
     forwarded : ForwardedPacket or None
         Its envelope; None if the packet was repeated only to check whether the
-        target still holds its flow, which no other target can hold.
+        target still holds its flow, which has opened there.
     """
 
     token: int
--- a/tests/routing/test_opening.py
+++ b/tests/routing/test_opening.py
@@ -16,8 +16,8 @@
 from ryesaddle.daemons.passthrough.agent import CHECK_INTERVAL_S
 from ryesaddle.internal.target.flows import COPY_PERIOD_S
 from ryesaddle.internal.target.router import REFUSAL_BACKOFF_S, UNRESPONSIVE_AFTER_S
-from tests.support.opening import FLOW, OpeningSimulation
-from tests.support.passthrough import routes
+from tests.support.opening import FLOW, HandshakeTarget, OpeningSimulation
+from tests.support.passthrough import SERVICE, routes
 
 BALANCERS = (1, 2)
 AGENTS = (1, 2, 3)
@@ -188,6 +188,20 @@
         world.deliver(("edge-2", f"side-{second}"))
         self.assert_not_reset(world, 2)
 
+    def test_a_flow_of_a_replaced_target_is_reset_without_a_search(self):
+        world = OpeningSimulation([False, False, False])
+        world.send_copy(1)
+        world.deliver_except()
+        (holder,) = [n for n in AGENTS if FLOW in world.agents[n][1].half_open]
+        world.send_data(1)
+        world.deliver_except()
+        agent, _ = world.agents[holder]
+        world.agents[holder] = (agent, HandshakeTarget("i-9", SERVICE, 9))
+        agent.verify_flows()
+        world.deliver_except()
+        self.assertTrue(world.was_reset)
+        self.assertEqual(agent._metrics.counts["agent.reset.target-ended"], 1)
+
 
 class QueuedCopyTest(OpeningTest):
     def opened_from_second_copy(self, agents=AGENTS):
--- a/tests/target/test_flows.py
+++ b/tests/target/test_flows.py
@@ -178,6 +178,32 @@
         self.flows.record_adopted(flow(1), 0.0)
         self.assertFalse(self.is_copy(0.6))
 
+    def accept_late(self, now):
+        """Let the target accept a flow whose opening packet others were given."""
+        self.flows = TargetFlows()
+        self.flows.record_opening(flow(1), 0.0, "opening", sequence_number=500)
+        self.flows.pop_unanswered()
+        self.flows.expire(now, IDLE_S)
+        self.flows.record_target_packet(Packet(flow(1), accepts=True), now)
+
+    def test_a_copy_of_a_flow_that_was_accepted_late_opens_no_new_flow(self):
+        self.accept_late(1.0)
+        self.assertTrue(self.is_copy(1.5))
+        self.assertFalse(self.is_copy(1.5, 501))
+        self.assertFalse(self.is_copy(COPY_PERIOD_S))
+
+    def test_a_packet_that_others_were_given_is_forgotten_after_its_copies(self):
+        self.accept_late(COPY_PERIOD_S)
+        self.assertFalse(self.is_copy(COPY_PERIOD_S))
+        self.assertEqual(len(self.flows._withdrawn), 0)
+
+    def test_a_late_copy_of_a_flow_that_its_target_ended_is_told_from_a_new_flow(self):
+        self.flows.record_target_packet(Packet(flow(1), ends=True), 0.1)
+        for number, has_ended in ((500, True), (501, False)):
+            packet = Packet(flow(1), opens=True, sequence_number=number)
+            self.assertEqual(self.flows.has_ended(packet, 0.6), has_ended)
+            self.assertFalse(self.flows.has_ended(packet, COPY_PERIOD_S))
+
     def test_a_request_on_a_reused_port_counts_whatever_its_sequence_number(self):
         self.flows.record_caller_packet(request(1, 900), b"", 0.1)
         self.flows.record_target_packet(Packet(flow(1), has_data=True), 0.2)
