--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -306,7 +306,7 @@
         if record is None:
             if packet.resets:
                 return None
-            self._adopt_sender(packet, now)
+            self._adopt_flow_of(packet, now)
             return FlowAdopted()
         self._touch(packet.flow, record, now)
         is_first = record.opening_packet is not None
@@ -488,7 +488,7 @@
         if len(self._withdrawn) > MAX_FLOWS:
             self._withdrawn.popitem(last=False)
 
-    def _adopt_sender(self, packet, now):
+    def _adopt_flow_of(self, packet, now):
         """Record a flow from a packet of the target, and which packet opened it."""
         self.record_adopted(packet.flow, now)
         record = self._flows[packet.flow]
