Eject targets that answer with errors, and probe them before they return

Callers of the own interface were sent to a target that answers each request with status 500 for as long as it did, since any answer counted as success.

Health now has three states. Then it is on probation: requests on its open flows that may be repeated test it, and five of them end the probation, one failure ejects it again.

Status 503 counts neither way: a target that is full turns requests away.

The test of admission passes the time, which succeeded() takes now.

--- a/src/ryesaddle/daemons/quic/agent.py
+++ b/src/ryesaddle/daemons/quic/agent.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from http import HTTPStatus
 
 import msgspec
 
@@ -16,7 +17,7 @@
 from ryesaddle.daemons.quic.relay import Relay
 from ryesaddle.daemons.quic.upstream import Upstream
 from ryesaddle.internal.admission.admission import Admission
-from ryesaddle.internal.admission.health import Health
+from ryesaddle.internal.admission.health import Health, OnProbation, describe_health
 from ryesaddle.internal.config.model import Limits
 from ryesaddle.internal.journal.journal import Journal
 from ryesaddle.internal.log import event
@@ -82,17 +83,39 @@
         node.membership.add_listener(self._on_replica_change)
         relay.register_handler(self.flows.run_relayed)
 
-    def accepts_requests(self):
-        """Whether new requests may be sent to the target."""
+    def accepts_requests(self, repeatable=False):
+        """Whether new requests may be sent to the target.
+
+        Parameters
+        ----------
+        repeatable : bool
+            Whether the caller may repeat the request. Such requests, on the flows that
+            are open, test a target on probation.
+        """
         if self._owner.draining or self._owner.view is None:
             return False
         view, me = self._owner.view, self.node.me
-        return me.node in view.by_node and view.is_open(view.by_node[me.node])
+        if me.node not in view.by_node:
+            return False
+        member = view.by_node[me.node]
+        if repeatable and member in view.excluded_members:
+            return isinstance(self.health.state(self._now()), OnProbation)
+        return view.is_open(member)
 
     def record_target_failure(self):
         """Record for the health check that the target failed a request."""
         self.health.failed(self._now())
 
+    def record_target_answer(self, status):
+        """Record for the health check how the target has answered a request.
+
+        A target that is full answers with status 503, which is no failure.
+        """
+        if status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            self.health.succeeded(self._now())
+        elif status != HTTPStatus.SERVICE_UNAVAILABLE:
+            self.health.failed(self._now())
+
     async def announce_periodically(self):
         """Introduce this agent to others and publish its health, until cancelled."""
         while True:
@@ -240,6 +263,7 @@
                 "service": self.node.me.service,
                 "target": self.node.me.target,
                 "open": self._owner.is_open(),
+                "health": describe_health(self.health.state(self._now())),
                 "holds_claims": self.claims.acceptor.is_active(self._now()),
                 "draining": not self.accepts_requests(),
                 "flows": len(self.flows),
--- a/src/ryesaddle/daemons/quic/exchange.py
+++ b/src/ryesaddle/daemons/quic/exchange.py
@@ -15,7 +15,7 @@
     response_fields,
     target_request_fields,
 )
-from ryesaddle.daemons.quic.request import MAX_BODY_BYTES
+from ryesaddle.daemons.quic.request import MAX_BODY_BYTES, SAFE_METHODS
 from ryesaddle.daemons.quic.stream import CallerGoneError
 from ryesaddle.daemons.quic.upstream import end_to_end_headers
 from ryesaddle.internal.admission.admission import Decline
@@ -122,7 +122,7 @@
         if not await self._body_done:
             self._send_error(413, Outcome.NOT_RUN, "body-too-large")
             return
-        if not self._agent.accepts_requests() and not self._relayed:
+        if not self._accepts_request() and not self._relayed:
             member = self._agent.relay.choose_member(self._req.request_id)
             if member is not None:
                 await self._relay_to(member)
@@ -141,6 +141,9 @@
                     503, self._outcome_if_aborted(), reason, CLAIM_RETRY_AFTER_S
                 )
 
+    def _accepts_request(self):
+        return self._agent.accepts_requests(self._req.method in SAFE_METHODS)
+
     async def _run_claimed(self, claim):
         self._claim = claim
         claimant = self._agent.claims.claimant
@@ -156,7 +159,7 @@
             self._agent.claims.give_up(claim)
 
     async def _admit_and_dispatch(self):
-        if not self._agent.accepts_requests():
+        if not self._accepts_request():
             self._decline("draining", DRAINING_RETRY_AFTER_S)
             return
         decision = await self._agent.admission_queue.acquire(
@@ -222,7 +225,7 @@
                 await self._stream.finish()
             reason = "caller-gone" if self._continues_without_caller else "answered"
             self._attempt.finish(Outcome.RAN, response.status, reason)
-            self._agent.health.succeeded()
+            self._agent.record_target_answer(response.status)
         return True
 
     async def _relay_to(self, member):
--- a/src/ryesaddle/internal/routing/view.py
+++ b/src/ryesaddle/internal/routing/view.py
@@ -42,6 +42,13 @@
         """The members that may be given new flows."""
         return tuple(m for m in self.members if self.is_open(m))
 
+    @cached_property
+    def excluded_members(self):
+        """The members that are given no new flows because their targets fail."""
+        if not self._excludes_failing:
+            return ()
+        return tuple(m for m in self.members if m.failing and self._is_eligible(m))
+
     @cached_property
     def _excludes_failing(self):
         eligible = [m for m in self.members if self._is_eligible(m)]
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -91,7 +91,7 @@
         health = Health()
         for _ in range(FAILURES_TO_EJECT - 1):
             health.failed(0.0)
-        health.succeeded()
+        health.succeeded(0.0)
         health.failed(0.0)
         self.assertFalse(health.is_failing(0.0))
         for _ in range(FAILURES_TO_EJECT):
--- a/tests/support/target.py
+++ b/tests/support/target.py
@@ -20,6 +20,7 @@
     """Serves status checks, submissions, pack downloads and faulty responses.
 
     ``/slow`` delays its response and ``/cut`` aborts the connection within the body.
+    After ``/fail`` status checks are answered with an error at once.
     ``/executed`` lists the executed requests. At most ``slots`` requests are executed
     at a time, each for ``work_s``; further delays are outside of the slots.
     """
@@ -29,6 +30,7 @@
         self.slots = asyncio.Semaphore(slots)
         self.work_s = work_s
         self.executed = []
+        self.failing = False
         self.app = web.Application(client_max_size=2**24)
         self.app.router.add_get("/status/{case}", self._status)
         self.app.router.add_post("/reply", self._reply)
@@ -36,6 +38,7 @@
         self.app.router.add_get("/slow/{seconds}", self._slow)
         self.app.router.add_get("/cut", self._abort)
         self.app.router.add_get("/executed", self._executed)
+        self.app.router.add_post("/fail", self._fail)
 
     async def _execute(self, req):
         async with self.slots:
@@ -49,7 +52,13 @@
             )
             await asyncio.sleep(self.work_s)
 
+    async def _fail(self, req):
+        self.failing = True
+        return web.Response()
+
     async def _status(self, req):
+        if self.failing:
+            return web.Response(status=500)
         await self._execute(req)
         return web.json_response({"case": req.match_info["case"], "by": self.name})
 
