Put the newer version before the late write in the test of late writes

Cause, shown by a run: with the process held up for 0.1 s within the 10 ms that the test waits, the write that the store makes 50 ms later takes effect before the test puts the newer version, so that there is no conflict. The test now waits until the store has taken the write, and puts the newer version in the next step of the event loop.

--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -87,7 +87,8 @@
         self.store.faults = {"late": 1}
         version = first.metadata.resource_version
         write = asyncio.ensure_future(self.client.write(KIND, "a", {"n": 2}, version))
-        await asyncio.sleep(0.01)
+        while self.store.faults["late"]:
+            await asyncio.sleep(0)
         self.store.put(KIND, "a", {"annotations": {}, "content": {"n": 3}})
         with self.assertRaises(ConflictError):
             await write
