Judge the requests of a target by the packets that answer them

One of the causes: such an answer was taken as the time of a request, so that placement took the target for a fast one.

An agent must not read an answer. It sees how long the answer took to begin, its length (from the sequence numbers; the packet that closes the flow may arrive first), and who ended the flow. A request now counts as failed if the target resets or closes its flow without an answer, or if the answer is both far quicker and far shorter than the usual answers of its route; either alone is no evidence. Requests that found the target full are not judged.

Failed requests are no samples of the work estimate.

TargetFlows was the longest module; what is recorded of one flow is a module of its own now.

--- a/src/ryesaddle/daemons/passthrough/heartbeat_handler.py
+++ b/src/ryesaddle/daemons/passthrough/heartbeat_handler.py
@@ -230,6 +230,7 @@
             self._check_first_heartbeat()
         self._reporter.report()
         if change == "started":
+            self._flows.outcomes.record_target_start()
             self.on_target_started()
         self.register_target()
 
--- a/src/ryesaddle/internal/routing/packet.py
+++ b/src/ryesaddle/internal/routing/packet.py
@@ -70,6 +70,8 @@
         Whether the packet is the target's acceptance of an opening packet.
     has_data : bool
         Whether the packet carries stream data of its sender.
+    data_size : int
+        Length of that data, in bytes.
     ends : bool
         Whether the sender closes its side of the flow.
     resets : bool
@@ -89,6 +91,7 @@
     copy: int = 0
     accepts: bool = False
     has_data: bool = False
+    data_size: int = 0
     ends: bool = False
     resets: bool = False
     returned: bool = False
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -6,7 +6,9 @@
 import msgspec
 
 from ryesaddle.internal.routing.packet import are_of_one_flow
-from ryesaddle.internal.target.work_estimate import LoadForecast, WorkEstimate
+from ryesaddle.internal.target.flow_record import FlowRecord, is_after
+from ryesaddle.internal.target.outcomes import RequestOutcomes
+from ryesaddle.internal.target.work_estimate import LoadForecast
 
 # Until the first measurement: requests take 5 to 40 ms, callers are 3 ms away.
 INITIAL_SERVICE_S = 0.05
@@ -24,7 +26,6 @@
 # Bounds the time that a flow counts if its opening packet was not seen here.
 DEFAULT_TIMEOUT_S = 10.0
 MAX_FLOWS = 20_000  # bounds memory; a target holds 2,000 connections
-HALF_POSITION_RANGE = 1 << 31  # serial number arithmetic, RFC 1982
 
 
 class FlowOpened(msgspec.Struct, frozen=True):
@@ -43,63 +44,6 @@
     elapsed_s: float
 
 
-class _FlowRecord:
-    """What was seen of one flow.
-
-    ``accepted`` means that the target has answered the opening packet, ``confirmed``
-    that the caller has sent a further packet. ``target_number`` is the last sequence
-    number of the target, None until it has sent a packet. ``established`` means that
-    the caller's last packet acknowledges what this target has sent. Callers also send
-    packets to targets that accepted a copy of their opening packet, but not the one
-    whose acceptance they acknowledge.
-
-    ``requested_at`` is the time of a request that the target is working on, None
-    without one; ``found_free_slot`` tells whether the target had a free slot then,
-    ``is_forecast`` whether the request counts for the forecast.
-    """
-
-    __slots__ = (
-        "accepted",
-        "active_at",
-        "answers_begun",
-        "confirmed",
-        "ended",
-        "established",
-        "found_free_slot",
-        "in_flight",
-        "in_flight_since",
-        "is_forecast",
-        "last_packet",
-        "last_position",
-        "opened_at",
-        "opening_packet",
-        "opening_sequence_number",
-        "requested_at",
-        "target_number",
-        "timeout_s",
-    )
-
-    def __init__(self, now, opening_packet, timeout_s, opening_sequence_number=None):
-        self.accepted = False
-        self.active_at = now
-        self.answers_begun = 0
-        self.in_flight = True
-        self.confirmed = False
-        self.ended = False
-        self.established = False
-        self.opened_at = now
-        self.found_free_slot = False
-        self.is_forecast = False
-        self.requested_at = None
-        self.target_number = None
-        self.opening_packet = opening_packet
-        self.opening_sequence_number = opening_sequence_number
-        self.last_packet = None
-        self.last_position = None
-        self.timeout_s = timeout_s
-        self.in_flight_since = now
-
-
 class TargetFlows:
     """Counts the requests in flight at a target from the packets seen.
 
@@ -122,6 +66,8 @@
     service_s : float
         Moving average of the time from a request to the start of its answer, in
         seconds.
+    outcomes : RequestOutcomes
+        How the target has answered its requests.
     """
 
     def __init__(self, started_at=0.0, max_age_s=DEFAULT_MAX_AGE_S):
@@ -134,11 +80,11 @@
         self._withdrawn = OrderedDict()
         self._in_flight = 0
         self._running = 0  # requests whose data was sent to the target
-        self._work = WorkEstimate()
         self._forecast = LoadForecast()
         self._unanswered_since = None
         self._opening_s = INITIAL_OPENING_S
         self.service_s = INITIAL_SERVICE_S
+        self.outcomes = RequestOutcomes()
 
     def __len__(self):
         return len(self._flows)
@@ -174,7 +120,7 @@
         It is 0 if that is not known. Other than `service_s` it does not grow with the
         requests that queue at the target.
         """
-        return self._work.work_s(now)
+        return self.outcomes.work_s(now)
 
     def forecast(self, now):
         """Return the expected number of requests in flight from open flows."""
@@ -243,7 +189,7 @@
             return
         self._drop(flow)
         self._withdrawn.pop(flow, None)
-        self._flows[flow] = _FlowRecord(now, opening, timeout_s, sequence_number)
+        self._flows[flow] = FlowRecord(now, opening, timeout_s, sequence_number)
         self._opening[flow] = now
         self._in_flight += 1
         self._bound_flows(now)
@@ -251,7 +197,7 @@
     def record_adopted(self, flow, now):
         """Record that the target holds a flow whose opening packet was not seen."""
         if flow not in self._flows:
-            record = self._flows[flow] = _FlowRecord(now, None, DEFAULT_TIMEOUT_S)
+            record = self._flows[flow] = FlowRecord(now, None, DEFAULT_TIMEOUT_S)
             record.in_flight, record.accepted, record.confirmed = False, True, True
             self._bound_flows(now)
 
@@ -286,7 +232,7 @@
                 self._set_in_flight(record, True)
                 record.in_flight_since = now
             if record.in_flight and record.requested_at is None:
-                self._start_request(record, slots, now)
+                self._start_request(packet, record, slots, now)
         if record.in_flight:
             record.last_packet = forwarded
         if packet.resets:
@@ -312,6 +258,7 @@
         is_first = record.opening_packet is not None
         record.opening_packet, record.accepted = None, True
         record.target_number = packet.sequence_number
+        record.extend_answer(packet)
         record.ended = record.ended or packet.ends
         elapsed_s = now - record.in_flight_since
         is_served = (packet.has_data or packet.ends) and record.in_flight
@@ -319,13 +266,15 @@
             record.answers_begun += 1
             self.service_s += SMOOTHING * (elapsed_s - self.service_s)
             self._forecast.advance(now)
-            if record.requested_at is not None:
-                self._work.record_answer(
-                    now - record.requested_at, record.found_free_slot, now
-                )
+            self._begin_answer(packet, record, now)
             self._opening.pop(packet.flow, None)
             self._set_in_flight(record, False)
+        if record.answer is not None:
+            record.answer.size = record.answer_size()
+            if packet.ends:
+                self._end_answer(record, now)
         if packet.resets:
+            self._record_reset(packet.flow, record, now)
             self._drop(packet.flow)
         if is_served:
             return AnswerStarted(elapsed_s)
@@ -449,16 +398,16 @@
 
     @staticmethod
     def _has_new_data(record, packet):
-        if record.last_position is None:
-            return True
-        distance = (packet.sequence_number - record.last_position) & 0xFFFFFFFF
-        return 0 < distance < HALF_POSITION_RANGE
+        last = record.last_position
+        return last is None or is_after(packet.sequence_number, last)
 
     def _touch(self, flow, record, now):
         record.active_at = now
         self._flows.move_to_end(flow)
 
-    def _start_request(self, record, slots, now):
+    def _start_request(self, packet, record, slots, now):
+        self._end_answer(record, now)
+        record.expect_answer(packet)
         self._forecast.advance(now)
         record.requested_at = now
         record.found_free_slot = self._running < slots
@@ -466,6 +415,28 @@
         self._running += 1
         self._forecast.in_flight += record.is_forecast
 
+    def _begin_answer(self, packet, record, now):
+        if record.requested_at is None:
+            return
+        elapsed_s = now - record.requested_at
+        if not packet.has_data and record.answer_size() == 0:
+            if record.found_free_slot:
+                self.outcomes.record_failure(packet.flow, "no-answer", elapsed_s, now)
+            return
+        record.answer = self.outcomes.begin_answer(
+            packet.flow, elapsed_s, record.found_free_slot, now
+        )
+
+    def _end_answer(self, record, now):
+        if record.answer is not None:
+            self.outcomes.end_answer(record.answer, now)
+            record.answer = None
+
+    def _record_reset(self, flow, record, now):
+        if record.requested_at is not None and record.found_free_slot:
+            elapsed_s = now - record.requested_at
+            self.outcomes.record_failure(flow, "reset", elapsed_s, now)
+
     def _set_in_flight(self, record, in_flight):
         if not in_flight:
             record.last_packet = None
