Give failing targets no new flows but probes, also on the platform

Callers were sent to targets that fail at once while they say that they are well: such a target has free slots at any time, so that placement by load and offers among agents prefer it, and callers who try again come to it again.

An agent reports that its target is ejected or on probation. Balancers leave it out as they do on the own interface, while at least half of the targets are left (ServiceView); a probe is a flow of a route whose requests may be repeated, one at a time. An agent that is offered a flow all the same passes it on, and serves it if all candidates fail, or if each other one has eight requests for a slot. Reports that want an acknowledgement hold the usual answers of the target, the acknowledgement their medians over the service, so that an agent that starts beside a failing target can tell.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
 from bench.broken import run_broken
 from bench.configuration import run_configuration
 from bench.datapath import run_datapath, run_flow_memory
+from bench.failing_targets import run_failing_targets
 from bench.long_flows import run_long_flows
 from bench.passthrough import run_passthrough
 from bench.placement import LOADS, POLICIES, run_overload, run_placement
@@ -38,6 +39,7 @@
     "changes": run_changes,
     "surge": run_surge,
     "long_flows": run_long_flows,
+    "failing_targets": run_failing_targets,
     "configuration": run_configuration,
     "passing": run_passthrough,
 }
--- a/bench/long_flows.py
+++ b/bench/long_flows.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bench.surge import (
+    ANSWER_BYTES,
     CALLER_LATENCY_S,
     HOP_LATENCY_S,
     MAX_RETRIES,
@@ -267,7 +268,7 @@
         return number
 
     def _answer(self, flow):
-        return Packet(flow, has_data=True)
+        return Packet(flow, has_data=True, data_size=ANSWER_BYTES)
 
     def _processing_s(self, now, target):
         pattern = self._pattern
--- a/bench/surge.py
+++ b/bench/surge.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ryesaddle.internal.address import Address
+from ryesaddle.internal.admission.health import OnProbation, Serving
 from ryesaddle.internal.membership.directory import AgentDirectory
 from ryesaddle.internal.membership.report_schedule import report_interval_s
 from ryesaddle.internal.routing.dispatcher import Discard, Dispatch
@@ -38,6 +39,7 @@
 HOP_LATENCY_S = 0.0006
 TICK_INTERVAL_S = 0.02
 MAX_RETRIES = 2
+ANSWER_BYTES = 1_000
 SERVICE_TIME_SIGMA = 0.5  # of a log-normal distribution
 
 
@@ -144,6 +146,11 @@
     by_speed, by_forecast : bool
         Whether balancers consider the speed of targets and the load that open flows
         bring.
+    eject_failing : bool
+        Whether agents judge the answers of their targets and report those that fail.
+    by_service : bool
+        Whether agents judge them by the usual answers of the service, or only by what
+        their own target has answered before.
     """
 
     offers_between_agents: bool = True
@@ -152,6 +159,8 @@
     in_time_first: bool = True
     by_speed: bool = True
     by_forecast: bool = True
+    eject_failing: bool = True
+    by_service: bool = True
 
 
 POLICIES = {
@@ -242,6 +251,7 @@
             _SimulatedTarget(number) for number in range(pattern.service.targets)
         ]
         self._agents = {}
+        self._health_states = {}
         self._report_sequence = 0
         # By flow: time of the first attempt, number of earlier attempts, and the
         # state "opening", "open" or "over".
@@ -321,6 +331,7 @@
     def _send_report(self, now, node, gone=False):
         target, agent_router, flows, _, own_candidate = self._agents[node]
         work_s, forecast = flows.work_s(now), agent_router.forecast(now)
+        outcomes, health = flows.outcomes, flows.outcomes.health
         self._report_sequence += 1
         report = AgentReport(
             node=node,
@@ -338,10 +349,16 @@
             gone=gone,
             work_s=work_s if self._policy.by_speed else 0.0,
             forecast=forecast if self._policy.by_forecast else 0.0,
+            failing=health.is_failing(now),
+            on_probation=isinstance(health.state(now), OnProbation),
+            usual_answers=outcomes.usual_answers(),
         )
         for directory, placement in zip(self._directories, self._placements):
             directory.apply_report(report, now)
             placement.liveness.heard(node)
+        if self._policy.by_service:
+            usual = self._directories[0].usual_answers(SERVICE, now)
+            outcomes.set_service_usual(usual)
 
     def _tick(self, now, number):
         if self._is_powered_off(now):
@@ -350,17 +367,32 @@
         if number % round(interval_s / TICK_INTERVAL_S) == 0:
             self._send_reports(now)
         for node in self._agents:
+            self._check_health(now, node)
             self._serve_queue(now, node)
 
+    def _check_health(self, now, node):
+        """Report at once that a target fails, or that it gets flows again."""
+        outcomes = self._agents[node][2].outcomes
+        if not self._policy.eject_failing:
+            outcomes.health.forget()
+        outcomes.settle(now)
+        state = type(outcomes.health.state(now))
+        if self._health_states.get(node, Serving) is not state:
+            self._health_states[node] = state
+            self._send_report(now, node)
+
     # Callers
 
-    def _open_flow(self, now, first_at, tries):
+    def _is_repeatable(self, flow):
+        return True
+
+    def _open_flow(self, now, first_at, tries, front=SERVICE_ADDRESS):
         if tries == 0:
             self.outcome.asked += 1
         if now > first_at + self._service.timeout_s or tries > MAX_RETRIES:
             self.outcome.failed += 1
             return
-        flow = Flow(Address("100.64.0.7", next(self._ports)), SERVICE_ADDRESS)
+        flow = Flow(Address("100.64.0.7", next(self._ports)), front)
         self._send_opening_packets(now, flow, first_at, tries)
 
     def _send_opening_packets(self, now, flow, first_at, tries):
@@ -380,7 +412,7 @@
         if state == "over":
             return
         self._requests[flow][2] = "over"
-        self._open_flow(now, first_at, tries + 1)
+        self._open_flow(now, first_at, tries + 1, flow.front)
 
     def _record_answer(self, now, flow):
         first_at, _, state = self._requests[flow]
@@ -415,7 +447,9 @@
             self._placements[balancer_index],
         )
         if self._policy.balance_by_load:
-            decision = placement.choose_agent(SERVICE, flow, copy, now)
+            decision = placement.choose_agent(
+                SERVICE, flow, copy, now, self._is_repeatable(flow)
+            )
         else:
             ranked = placement.rank_agents(SERVICE, flow, True, now)
             decision = Dispatch(ranked[0], "ranked") if ranked else Discard("none")
@@ -433,6 +467,7 @@
             candidates=tuple(Candidate(m.node, m.address) for m in others),
             objective_ms=round(self._service.objective_s * 1000),
             timeout_ms=round(self._service.timeout_s * 1000),
+            repeatable=self._is_repeatable(flow),
         )
         self._schedule(
             now + HOP_LATENCY_S,
@@ -531,7 +566,7 @@
         return 1
 
     def _answer(self, flow):
-        return Packet(flow, has_data=True, ends=True)
+        return Packet(flow, has_data=True, data_size=ANSWER_BYTES, ends=True)
 
     def _start_request(self, now, node, flow):
         target = self._agents[node][0]
--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -5,6 +5,7 @@
 from collections import deque
 
 from ryesaddle.daemons.passthrough.target_probe import is_listening
+from ryesaddle.internal.admission.health import Ejected, OnProbation, Serving
 from ryesaddle.internal.log import event
 from ryesaddle.internal.routing.packet import Flow
 from ryesaddle.internal.target.flows import AnswerStarted, FlowAdopted, FlowOpened
@@ -93,6 +94,7 @@
         self._lookup_results_due = False
         self._target_silent = False
         self._was_awaiting_evacuations = False
+        self._health_state = Serving()
         messages.on(ForwardedPacket, self._on_forwarded_packet)
         messages.on(FlowQuery, self._on_flow_query)
         messages.on(FlowLookup, self._on_flow_lookup)
@@ -316,6 +318,7 @@
         """Check the target, the queue and adopted flows once."""
         self._check_standstill()
         self._check_target()
+        self._check_health()
         self._process_queue()
         self._confirm_adopted_flows()
         self._expire_lookups()
@@ -359,6 +362,44 @@
                 decision = self._router.decide_unanswered(forwarded)
                 self._execute_decision(decision, forwarded, packet)
 
+    def _check_health(self):
+        """Log failed requests, and report whether the target gets new flows."""
+        now, outcomes = self._now(), self._flows.outcomes
+        for failed in outcomes.settle(now):
+            self._metrics.count(f"agent.request_failed.{failed.reason}")
+            event(
+                log,
+                "request-failed",
+                flow=failed.flow,
+                target=self._target_state.target,
+                reason=failed.reason,
+                taken_ms=round(failed.elapsed_s * 1000, 1),
+                size=failed.size,
+                usual_ms=round(failed.usual.time_s * 1000, 1) if failed.usual else "-",
+                usual_size=failed.usual.size if failed.usual else "-",
+            )
+        state = outcomes.health.state(now)
+        if type(state) is type(self._health_state):
+            return
+        self._health_state = state
+        target = self._target_state.target
+        match state:
+            case Ejected(until=until, failures=failures, requests=requests):
+                self._metrics.count("agent.ejected")
+                event(
+                    log,
+                    "target-ejected",
+                    target=target,
+                    failures=failures,
+                    requests=requests,
+                    for_s=round(until - now, 1),
+                )
+            case OnProbation():
+                event(log, "target-on-probation", target=target)
+            case Serving():
+                event(log, "target-returns", target=target)
+        self._reporter.report()
+
     def _process_queue(self):
         if not self._queue:
             return
--- a/src/ryesaddle/daemons/passthrough/agent_monitor.py
+++ b/src/ryesaddle/daemons/passthrough/agent_monitor.py
@@ -152,6 +152,7 @@
                 store_era=self._eras.era,
                 evacuation=self._evacuations.confirmed_state(),
                 warm_up_per_s=routes.warm_up_rate(report.service) if routes else -1.0,
+                usual_answers=self._directory.usual_answers(report.service, now),
             )
             self._messages.send(report.address, ack)
         self._liveness.heard(report.node)
--- a/src/ryesaddle/daemons/passthrough/balancer.py
+++ b/src/ryesaddle/daemons/passthrough/balancer.py
@@ -136,7 +136,9 @@
         flow, now = packet.flow, self._now()
         # What agents said about an earlier flow of the same addresses no longer counts.
         self._searches.finish(flow)
-        match self._placement.choose_agent(service, flow, packet.copy, now):
+        match self._placement.choose_agent(
+            service, flow, packet.copy, now, route.repeatable
+        ):
             case Discard(reason=reason):
                 self._refuse(packet, service, reason, now)
             case Dispatch(member=member, reason=reason, others=others):
@@ -149,6 +151,7 @@
                     objective_ms=round(route.objective_s * 1000),
                     timeout_ms=round(route.timeout_s * 1000),
                     received_at=now,
+                    repeatable=route.repeatable,
                 )
                 self._send_opening_packet(packet, forwarded, member, reason)
 
--- a/src/ryesaddle/daemons/passthrough/reporter.py
+++ b/src/ryesaddle/daemons/passthrough/reporter.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+from ryesaddle.internal.admission.health import OnProbation
 from ryesaddle.internal.config.evacuation import Evacuations
 from ryesaddle.internal.log import event
 from ryesaddle.internal.membership.drain_record import DrainRecord
@@ -142,6 +143,8 @@
         # A restored state that may be outdated must not replace a newer one at the
         # balancers, which keep what they know while the target is not named.
         is_named = target_state.is_certain() or target_state.draining
+        outcomes = self._router.outcomes
+        health = outcomes.health
         for options, addresses in due_reports.items():
             report = AgentReport(
                 node=self._settings.node,
@@ -161,6 +164,9 @@
                 work_s=round(self._router.work_s(now), 5),
                 forecast=round(self._router.forecast(now), 3),
                 answers_lookups=True,
+                failing=health.is_failing(now),
+                on_probation=isinstance(health.state(now), OnProbation),
+                usual_answers=outcomes.usual_answers() if options.wants_ack else (),
             )
             self._messages.send_all(addresses, report)
 
@@ -201,6 +207,7 @@
         self._merge_evacuation(ack.evacuation, addr)
         self._eras.learn(ack.store_era, self._now())
         self._router.set_warm_up_limit(addr, ack.warm_up_per_s, self._now())
+        self._router.outcomes.set_service_usual(ack.usual_answers)
         if ack.incarnation == self._incarnation:
             # Before this balancer counts as asked.
             self._on_previous_target(ack.target, ack.draining, f"balancer {ack.node}")
--- a/src/ryesaddle/daemons/passthrough/run_agent.py
+++ b/src/ryesaddle/daemons/passthrough/run_agent.py
@@ -38,6 +38,7 @@
 from ryesaddle.daemons.passthrough.target_probe import is_listening
 from ryesaddle.errors import StoreError
 from ryesaddle.internal.address import Address
+from ryesaddle.internal.admission.health import describe_health
 from ryesaddle.internal.log import event, set_up_logging, warn
 from ryesaddle.internal.membership.directory import TargetEntry
 from ryesaddle.internal.metrics import Metrics
@@ -157,6 +158,7 @@
             "service_s": round(flows.service_s, 4),
             "work_s": round(router.work_s(loop.time()), 4),
             "forecast": round(router.forecast(loop.time()), 2),
+            "health": describe_health(flows.outcomes.health.state(loop.time())),
             "store_calls": store.calls,
             "store_era": store.era,
         }
--- a/src/ryesaddle/daemons/passthrough/run_balancer.py
+++ b/src/ryesaddle/daemons/passthrough/run_balancer.py
@@ -153,6 +153,7 @@
             "flows": len(placement),
             "agents": len(directory),
             "open_agents": directory.count_open(),
+            "failing_agents": directory.count_failing(),
             "balancers": len(peers.live_names()) + 1,
             "evacuated": list(evacuations.state.data_centres)
             if evacuations.state
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -7,9 +7,17 @@
 import xxhash
 
 from ryesaddle.internal.address import Address
-from ryesaddle.internal.membership.report_schedule import REPORT_INTERVAL_S
+from ryesaddle.internal.median import upper_median
+from ryesaddle.internal.membership.report_schedule import (
+    ACK_INTERVAL_S,
+    REPORT_INTERVAL_S,
+)
 from ryesaddle.internal.routing.member import Member
 from ryesaddle.internal.routing.view import ServiceView
+from ryesaddle.internal.target.usual_answers import (
+    UsualAnswer,
+    combine_usual_answers,
+)
 from ryesaddle.internal.target.work_estimate import FORECAST_S
 from ryesaddle.internal.wire.passthrough import AgentReport
 
@@ -24,6 +32,7 @@
 JOINING_S = FORECAST_S
 # Reports arrive no more often. The medians of 100 agents take some 30 us.
 MEDIANS_MAX_AGE_S = REPORT_INTERVAL_S
+USUAL_ANSWERS_MAX_AGE_S = ACK_INTERVAL_S  # each agent reports them as often
 # If fewer have settled, the others share the new flows and replace what has gone.
 MIN_SETTLED_SHARE = 0.75
 # Estimates that differ by less are taken for equal: they deviate by 8 to 17 %, which
@@ -80,6 +89,8 @@
     forecast: float = 0.0
     joined_at: float = -math.inf
     answers_lookups: bool = True
+    on_probation: bool = False
+    usual_answers: tuple[UsualAnswer, ...] = ()
 
 
 class _Medians(msgspec.Struct, frozen=True):
@@ -111,6 +122,7 @@
         self._departed = OrderedDict()
         self._views = {}
         self._medians = {}
+        self._usual_answers = {}
         self._version = 0
         self._digest = None
 
@@ -152,8 +164,8 @@
         Returns
         -------
         str or None
-            The change for the event log ("appeared", "open", "closed" or "gone"),
-            None if nothing changed.
+            The change for the event log ("appeared", "open", "closed", "failing",
+            "not-failing" or "gone"), None if nothing changed.
         """
         held = self._agents.get(report.node)
         if self._is_outdated(report, held, now):
@@ -182,6 +194,7 @@
             service=report.service,
             target=target,
             draining=draining,
+            failing=report.failing,
         )
         agent = _Agent(
             member,
@@ -198,6 +211,9 @@
             forecast=report.forecast,
             joined_at=held.joined_at if _is_same_run(held, report) else now,
             answers_lookups=report.answers_lookups,
+            on_probation=report.on_probation,
+            usual_answers=report.usual_answers
+            or (held.usual_answers if _is_same_run(held, report) else ()),
         )
         self._agents[report.node] = agent
         if held is not None and (held.member, held.open) == (member, report.open):
@@ -205,6 +221,8 @@
         self._invalidate_views(held, member)
         if held is None or held.member.target != member.target:
             return "appeared"
+        if held.member.failing != member.failing:
+            return "failing" if member.failing else "not-failing"
         return "open" if report.open else "closed"
 
     def add_entries(self, entries, now):
@@ -284,6 +302,27 @@
             return max(agent.forecast, median)
         return agent.forecast
 
+    def is_on_probation(self, node):
+        """Whether the target of an agent gets probes: it has failed requests before."""
+        agent = self._agents.get(node)
+        return agent is not None and agent.on_probation
+
+    def usual_answers(self, service, now):
+        """Return the `UsualAnswer` of each route of a service, over its targets."""
+        computed_at, answers = self._usual_answers.get(service, (-math.inf, ()))
+        if now - computed_at >= USUAL_ANSWERS_MAX_AGE_S:
+            answers = combine_usual_answers(
+                agent.usual_answers
+                for agent in self._agents.values()
+                if agent.member.service == service
+            )
+            self._usual_answers[service] = now, answers
+        return answers
+
+    def count_failing(self):
+        """Return the number of agents whose targets fail their requests."""
+        return sum(agent.member.failing for agent in self._agents.values())
+
     def has_long_flows(self, service, now):
         """Whether the flows of a service bring several requests each."""
         return self._service_medians(service, now).forecast >= LONG_FLOW_FORECAST
@@ -325,11 +364,11 @@
                 for agent in agents
                 if agent.work_s > 0 and now - agent.joined_at >= JOINING_S
             ]
-            forecast = _median([agent.forecast for agent in settled or agents])
+            forecast = upper_median([agent.forecast for agent in settled or agents])
             is_settled = len(settled) >= MIN_SETTLED_SHARE * len(agents)
             medians = self._medians[service] = _Medians(
                 now,
-                _median([agent.work_s for agent in agents if agent.work_s > 0]),
+                upper_median([agent.work_s for agent in agents if agent.work_s > 0]),
                 forecast,
                 forecast if is_settled else 0.0,
             )
@@ -377,7 +416,3 @@
         and held.incarnation == report.incarnation
         and held.member.target == report.target
     )
-
-
-def _median(values):
-    return sorted(values)[len(values) // 2] if values else 0.0
--- a/src/ryesaddle/internal/routing/placement.py
+++ b/src/ryesaddle/internal/routing/placement.py
@@ -2,6 +2,7 @@
 
 from itertools import islice
 
+from ryesaddle.internal.admission.health import FAILING_LOAD
 from ryesaddle.internal.routing.dispatcher import Discard, Dispatch
 from ryesaddle.internal.routing.flow_cache import FlowCache
 from ryesaddle.internal.routing.liveness import Liveness
@@ -76,7 +77,7 @@
             if str(flow.caller) == caller
         ]
 
-    def choose_agent(self, service, flow, copy, now):
+    def choose_agent(self, service, flow, copy, now, repeatable=False):
         """Return a `Dispatch` or `Discard` for a packet that opens a flow.
 
         Parameters
@@ -90,6 +91,9 @@
             candidates, if there are enough agents.
         now : float
             Seconds on a monotonic clock.
+        repeatable : bool
+            Whether the caller may repeat its requests, so that the flow may be a probe
+            of a target that has failed requests before.
         """
         known = self.find(flow)
         if (
@@ -101,7 +105,7 @@
             # An earlier copy of the packet is queued at that agent or in transit.
             self.liveness.expect_answer(known.node, now)
             return Dispatch(known, "cached")
-        ranked = self._ranked_members(service, flow, True)
+        ranked = self._ranked_members(service, flow, True, probes=repeatable)
         alive = (m for m in ranked if self.is_alive(m, now))
         # Checking only the first live agents bounds the cost of a new flow.
         is_long = self._directory.has_long_flows(service, now)
@@ -113,6 +117,8 @@
         first = (copy * count) % len(eligible)
         candidates = (eligible[first:] + eligible[:first])[:count]
         candidates.sort(key=lambda member: self._cost(member, now))
+        if self._directory.load(candidates[0]) >= FAILING_LOAD:
+            candidates[1:1] = self._rank_failing(service, flow, candidates, now)[:1]
         self.liveness.expect_answer(candidates[0].node, now)
         others = tuple(candidates[1:MAX_CANDIDATES])
         return Dispatch(candidates[0], "least-loaded", others)
@@ -177,17 +183,34 @@
             return False
         return self._directory.is_alive(member.node, now)
 
-    def _ranked_members(self, service, flow, opens):
+    def _ranked_members(self, service, flow, opens, probes=False):
         view = self._directory.view(service)
         if view is None:
             return []
         members = view.members
         if opens:
             members = view.open_members
+            if probes:
+                members += tuple(
+                    member
+                    for member in view.excluded_members
+                    if self._directory.is_on_probation(member.node)
+                )
             if self._evacuated:
                 members = [m for m in members if m.data_centre not in self._evacuated]
         return self._local_first(rank(flow_key(service, flow), members))
 
+    def _rank_failing(self, service, flow, candidates, now):
+        """Return the members with failing targets that may relieve the candidates."""
+        failing = [
+            member
+            for member in self._directory.view(service).excluded_members
+            if member not in candidates
+            and member.data_centre not in self._evacuated
+            and self.is_alive(member, now)
+        ]
+        return rank(flow_key(service, flow), failing)
+
     def _local_first(self, ranked):
         local = [m for m in ranked if m.data_centre == self._data_centre]
         remote = [m for m in ranked if m.data_centre != self._data_centre]
--- a/src/ryesaddle/internal/target/router.py
+++ b/src/ryesaddle/internal/target/router.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ryesaddle.internal.admission.health import FAILING_LOAD, OnProbation, Serving
 from ryesaddle.internal.membership.standstill import Standstill
 from ryesaddle.internal.wire.passthrough import Candidate, ForwardedPacket
 
@@ -171,6 +172,11 @@
             return full / slots + wait_s / self._flows.service_s
         return (in_flight + len(self._queue)) / slots
 
+    @property
+    def outcomes(self):
+        """How the target has answered its requests, as `RequestOutcomes`."""
+        return self._flows.outcomes
+
     @property
     def knows_warm_up_limit(self):
         """Whether this agent knows how many new flows a cold target bears."""
@@ -234,8 +240,11 @@
         if forwarded.assigned:
             return self._deliver_or_queue(forwarded, packet, True, now)
         notify_balancer = forwarded.best is not None or bool(forwarded.asked)
-        if self.load(now) < 1:
-            return Deliver("free", notify_balancer)
+        match self.outcomes.health.state(now):
+            case Serving() if self.load(now) < 1:
+                return Deliver("free", notify_balancer)
+            case OnProbation() if self._may_probe(forwarded, now):
+                return Deliver("probe", notify_balancer)
         return self._offer_to_next(forwarded, packet, notify_balancer, now)
 
     def is_absent(self, now):
@@ -285,6 +294,18 @@
         knows_all_flows = self._flows.is_complete(now)
         return self._warm_up.is_used_up(warm_up_until, knows_all_flows, now)
 
+    def _may_probe(self, forwarded, now):
+        """Whether a flow may test a target that has failed its requests before.
+
+        Its caller may get an error, and must be able to repeat the request.
+        """
+        return forwarded.repeatable and self._flows.in_flight(now) == 0
+
+    def _offered_load(self, now):
+        """Return the load that is compared with that of the other candidates."""
+        is_failing = self.outcomes.health.is_failing(now)
+        return self.load(now) + FAILING_LOAD * is_failing
+
     def _deliver_or_queue(self, forwarded, packet, notify_balancer, now):
         if self.has_capacity(now):
             return Deliver("least-loaded", notify_balancer)
@@ -295,7 +316,7 @@
         return self._return_to_balancer(forwarded, "too-many")
 
     def _offer_to_next(self, forwarded, packet, notify_balancer, now):
-        best, best_load = self._this_agent, self.load(now)
+        best, best_load = self._this_agent, self._offered_load(now)
         if forwarded.best is not None and forwarded.best_load <= best_load:
             best, best_load = forwarded.best, forwarded.best_load
         if forwarded.candidates:
--- a/src/ryesaddle/internal/wire/passthrough.py
+++ b/src/ryesaddle/internal/wire/passthrough.py
@@ -10,6 +10,7 @@
 from ryesaddle.errors import WireError
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.config.evacuation import EvacuationState
+from ryesaddle.internal.target.usual_answers import UsualAnswer
 
 
 class Candidate(msgspec.Struct, frozen=True, array_like=True):
@@ -49,6 +50,8 @@
     received_at : float
         When the balancer received the packet, in seconds on its monotonic clock; 0 if
         that is not known, or if a target that was sent the packet may still accept it.
+    repeatable : bool
+        Whether the caller may repeat the requests of the flow.
     """
 
     service: str
@@ -64,6 +67,7 @@
     objective_ms: int = 0
     timeout_ms: int = 0
     received_at: float = 0.0
+    repeatable: bool = False
 
 
 class ReturnedPacket(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -140,6 +144,12 @@
         Expected number of further requests in flight from open flows, per slot.
     answers_lookups : bool
         Whether the agent understands `FlowLookup`; older versions ignore it.
+    failing : bool
+        Whether the target fails its requests, and gets none or only probes.
+    on_probation : bool
+        Whether it gets probes: single requests that may be repeated.
+    usual_answers : tuple of UsualAnswer
+        Usual answers of the target, in reports that want an acknowledgement.
     """
 
     node: str
@@ -159,6 +169,9 @@
     work_s: float = 0.0
     forecast: float = 0.0
     answers_lookups: bool = False
+    failing: bool = False
+    on_probation: bool = False
+    usual_answers: tuple[UsualAnswer, ...] = ()
 
 
 class AgentReportAck(msgspec.Struct, frozen=True, array_like=True, tag=5):
@@ -184,6 +197,8 @@
     warm_up_per_s : float
         Requests per second that the target bears while it warms up; 0 if unlimited,
         negative if the balancer has no configuration yet.
+    usual_answers : tuple of UsualAnswer
+        Usual answers of the service, from the reports of its agents.
     """
 
     node: str
@@ -194,6 +209,7 @@
     store_era: int = 0
     evacuation: EvacuationState | None = None
     warm_up_per_s: float = 0.0
+    usual_answers: tuple[UsualAnswer, ...] = ()
 
 
 class Gossip(msgspec.Struct, frozen=True, array_like=True, tag=6):
--- a/tests/routing/test_passthrough.py
+++ b/tests/routing/test_passthrough.py
@@ -466,11 +466,11 @@
     def test_an_opening_packet_that_follows_a_cached_agent_is_detected(self):
         """A cached agent is used although the route gives another service now."""
 
-        def choose_agent(self, service, flow, copy, now):
+        def choose_agent(self, service, flow, copy, now, repeatable=False):
             known = self.find(flow)
             if known is not None:
                 return Dispatch(known, "cached")
-            return original(self, service, flow, copy, now)
+            return original(self, service, flow, copy, now, repeatable)
 
         original = Placement.choose_agent
         patch = mock.patch.object(Placement, "choose_agent", choose_agent)
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -1,6 +1,7 @@
 import unittest
 
 from ryesaddle.internal.address import Address
+from ryesaddle.internal.admission.health import FAILING_LOAD
 from ryesaddle.internal.membership.directory import (
     JOINING_S,
     MEDIANS_MAX_AGE_S,
@@ -182,3 +183,35 @@
         directory = world.balancers[1]._directory
         works = [directory.relative_work(m, world.now) for m in directory.members()]
         self.assertEqual([round(work, 1) for work in works], [1.0, 1.0, 3.0])
+
+
+class FailingTargetTest(PlacementCase):
+    """An idle target that fails its requests must not attract new flows."""
+
+    def choose(self, port, repeatable):
+        flow = Flow(Address("100.64.0.7", port), FRONT)
+        return self.placement.choose_agent(SERVICE, flow, 0, OPENED_AT, repeatable)
+
+    def nodes(self, repeatable):
+        decisions = [self.choose(port, repeatable) for port in range(60)]
+        return {m.node for d in decisions for m in (d.member, *d.others)}
+
+    def test_an_ejected_target_is_no_candidate(self):
+        self.start(range(1, 7), changes={1: {"failing": True}}, load=2.0)
+        for repeatable in (False, True):
+            self.assertNotIn("side-1", self.nodes(repeatable))
+
+    def test_a_target_on_probation_is_one_for_repeatable_requests(self):
+        changes = {1: {"failing": True, "on_probation": True, "load": 0.0}}
+        self.start(range(1, 7), changes=changes, load=2.0)
+        self.assertNotIn("side-1", self.nodes(False))
+        self.assertIn("side-1", self.nodes(True))
+
+    def test_a_failing_target_is_offered_what_the_others_cannot_carry(self):
+        self.start(range(1, 7), changes={1: {"failing": True}}, load=FAILING_LOAD)
+        self.assertIn("side-1", self.nodes(False))
+
+    def test_when_most_targets_fail_none_is_left_out(self):
+        changes = {number: {"failing": True} for number in range(1, 5)}
+        self.start(range(1, 7), changes=changes)
+        self.assertEqual(len(self.nodes(False)), 6)
--- a/tests/target/test_router.py
+++ b/tests/target/test_router.py
@@ -3,6 +3,7 @@
 from hypothesis import given, strategies as st
 
 from ryesaddle.internal.address import Address
+from ryesaddle.internal.admission.health import FAILING_LOAD, FAILURES_TO_EJECT
 from ryesaddle.internal.routing.packet import Flow, Packet
 from ryesaddle.internal.target.flows import TargetFlows
 from ryesaddle.internal.target.queue import MAX_QUEUED_FLOWS, FlowQueue
@@ -195,3 +196,38 @@
         if isinstance(decision, OfferTo | ReturnToBalancer):
             self.assertFalse(held and service == "case-desk")
             self.assertTrue(opens)
+
+
+class FailingTargetTest(RouterCase):
+    """A target that fails its requests must not get them because it is idle."""
+
+    def setUp(self):
+        super().setUp()
+        for _ in range(FAILURES_TO_EJECT):
+            self.flows.outcomes.health.failed(0.0)
+        self.probed_at = self.flows.outcomes.health.state(0.0).until
+
+    def decide(self, number=1, now=0.0, **changes):
+        return self.router.decide(forwarded(**changes), opening(number), now)
+
+    def test_an_ejected_target_leaves_new_flows_to_others(self):
+        decision = self.decide(candidates=(OTHER,), repeatable=True)
+        self.assertIsInstance(decision, OfferTo)
+        self.assertGreaterEqual(decision.forwarded.best_load, FAILING_LOAD)
+
+    def test_a_flow_that_no_other_candidate_takes_is_served(self):
+        """If all targets look alike, refusing their flows would help nobody."""
+        self.assertIsInstance(self.decide(), Deliver)
+        self.assertIsInstance(self.decide(2, assigned=True), Deliver)
+
+    def test_a_probe_is_a_flow_whose_requests_may_be_repeated(self):
+        options = {"now": self.probed_at, "candidates": (OTHER,)}
+        self.assertIsInstance(self.decide(repeatable=False, **options), OfferTo)
+        self.assertEqual(self.decide(repeatable=True, **options), Deliver("probe"))
+
+    def test_one_probe_at_a_time(self):
+        options = {"candidates": (OTHER,), "repeatable": True}
+        now = self.probed_at
+        self.assertIsInstance(self.decide(1, now, **options), Deliver)
+        self.flows.record_opening(flow(1), now)
+        self.assertIsInstance(self.decide(2, now, **options), OfferTo)
