Let targets of the soak fail their requests

The new fault makes a target reset the flow of each request for a while; a target that does so is ejected and has to return before the recovery is checked.

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -244,6 +244,10 @@
                 target.is_hung = True
                 await asyncio.sleep(item.for_s)
                 target.is_hung = False
+            case "target-fails":
+                target.is_failing = True
+                await asyncio.sleep(item.for_s)
+                target.is_failing = False
             case "target-drains" if target.state != "draining":
                 target.drain()
                 # New flows may still arrive during the drain period, but not after it.
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -34,6 +34,7 @@
     "target-restarts-same-name",
     *DRAIN_FAULTS,
     "target-hangs",
+    "target-fails",
     "odd-heartbeats",
 )
 CONFIGURATION_CHANGES = ("drop-route", "add-route")
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -10,6 +10,7 @@
 from tests.support.packets import (
     ACK,
     FIN,
+    RST,
     SYN,
     endpoints_of,
     flags_of,
@@ -31,7 +32,7 @@
 
 
 class SoakTarget(Target):
-    """A target that can restart, drain and hang.
+    """A target that can restart, drain, hang and fail its requests.
 
     Each flow gets its own initial sequence number, so that an acknowledgement for
     another target or another start of this one opens no flow.
@@ -45,6 +46,7 @@
         self._half_open = {}
         self.start_number = 0
         self.is_hung = False
+        self.is_failing = False
         self._falls_silent = False
         self.restart()
 
@@ -121,6 +123,10 @@
             self.send(returned(data))
         elif self.flows[flow] != acknowledged:
             return  # a packet of an earlier flow of the port
+        elif len(data) > HEADER_BYTES and self.is_failing:
+            del self.flows[flow]
+            self._checker.flow_closed(caller)
+            self.reply(packet(service_address, caller, RST, acknowledged, 1))
         elif len(data) > HEADER_BYTES:
             body = f"{self.host}:".encode() + data[HEADER_BYTES:]
             self.reply(packet(service_address, caller, ACK, acknowledged, 1, body))
