Count a request without an answer in its time as failed

A target that hangs was sent as many requests again each time those before had expired, for as long as it hung. They count as failures now, also those that found the target full, if the route's time is known and the flow is open at this target.

--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -274,7 +274,7 @@
             if packet.ends:
                 self._end_answer(record, now)
         if packet.resets:
-            self._record_reset(packet.flow, record, now)
+            self._record_failure(packet.flow, record, "reset", now)
             self._drop(packet.flow)
         if is_served:
             return AnswerStarted(elapsed_s)
@@ -340,6 +340,7 @@
         timed_out = []
         for flow, record in self._flows.items():
             if record.in_flight and now - record.in_flight_since > record.timeout_s:
+                self._record_unanswered(flow, record, now)
                 self._set_in_flight(record, False)
                 if record.confirmed:
                     timed_out.append(flow)
@@ -418,13 +419,11 @@
     def _begin_answer(self, packet, record, now):
         if record.requested_at is None:
             return
-        elapsed_s = now - record.requested_at
         if not packet.has_data and record.answer_size() == 0:
-            if record.found_free_slot:
-                self.outcomes.record_failure(packet.flow, "no-answer", elapsed_s, now)
+            self._record_failure(packet.flow, record, "no-answer", now)
             return
         record.answer = self.outcomes.begin_answer(
-            packet.flow, elapsed_s, record.found_free_slot, now
+            packet.flow, now - record.requested_at, record.found_free_slot, now
         )
 
     def _end_answer(self, record, now):
@@ -432,10 +431,26 @@
             self.outcomes.end_answer(record.answer, now)
             record.answer = None
 
-    def _record_reset(self, flow, record, now):
+    def _record_unanswered(self, flow, record, now):
+        """Record that a request, if there is one, has no answer within its time.
+
+        The timeout of the route is not known if the opening packet was not seen. A
+        flow that is not established may be open at another target, which answers.
+        """
+        is_timeout_known = record.opening_sequence_number is not None
+        is_running = record.requested_at is not None
+        if is_running and is_timeout_known and record.established:
+            elapsed_s = now - record.requested_at
+            self.outcomes.record_failure(flow, "unanswered", elapsed_s, now)
+
+    def _record_failure(self, flow, record, reason, now):
+        """Record that the target ends a request, if there is one, without an answer.
+
+        A target that is full may do so.
+        """
         if record.requested_at is not None and record.found_free_slot:
             elapsed_s = now - record.requested_at
-            self.outcomes.record_failure(flow, "reset", elapsed_s, now)
+            self.outcomes.record_failure(flow, reason, elapsed_s, now)
 
     def _set_in_flight(self, record, in_flight):
         if not in_flight:
--- a/src/ryesaddle/internal/target/outcomes.py
+++ b/src/ryesaddle/internal/target/outcomes.py
@@ -28,7 +28,8 @@
     flow : Flow
         The flow of the request.
     reason : str
-        ``reset``, ``no-answer`` (the target has closed the flow without an answer) or
+        ``reset``, ``no-answer`` (the target has closed the flow without an answer),
+        ``unanswered`` (it has sent none within the route's time) or
         ``quick-and-short``.
     elapsed_s : float
         Time from the request to the answer or the end of the flow, in seconds.
@@ -66,13 +67,15 @@
 
     Load pattern: targets that fail requests at once while they say that they are well.
     An agent cannot read an answer. A request counts as failed if the target resets or
-    closes its flow without an answer, or if the answer is both far quicker and far
-    shorter than the usual answers of the same route. Either of the two alone is not
-    enough: some targets are faster than others, and some answers are short.
+    closes its flow without an answer, or leaves it without one for longer than the
+    route allows, or if the answer is both far quicker and far shorter than the usual
+    answers of the same route. Either of these two alone is not enough: some targets
+    are faster than others, and some answers are short.
 
     The usual answers are those of the service, as balancers have told them, otherwise
     those that this target has given before. Requests that had to queue at the target
-    are not judged: a target that is full may turn requests away.
+    are only judged by whether they are answered in time: a target that is full may
+    turn requests away.
 
     Attributes
     ----------
@@ -135,7 +138,7 @@
             self._samples.record(answer.flow.front, answer.elapsed_s, answer.size)
 
     def record_failure(self, flow, reason, elapsed_s, now):
-        """Record that the target has ended a flow without an answer."""
+        """Record that a request has got no answer."""
         self._fail(RequestFailed(flow, reason, elapsed_s), now)
 
     def settle(self, now):
--- a/tests/target/test_outcomes.py
+++ b/tests/target/test_outcomes.py
@@ -3,7 +3,7 @@
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.admission.health import Ejected, Serving
 from ryesaddle.internal.routing.packet import Flow, Packet
-from ryesaddle.internal.target.flows import TargetFlows
+from ryesaddle.internal.target.flows import DEFAULT_TIMEOUT_S, TargetFlows
 from ryesaddle.internal.target.outcomes import ANSWER_SETTLE_S
 from ryesaddle.internal.target.usual_answers import (
     MAX_REPORTED_ROUTES,
@@ -145,6 +145,21 @@
         self.target_sends(flow, ends=True)
         self.assertEqual(self.failures(), ["no-answer"])
 
+    def test_requests_without_an_answer_in_time_are_failures(self):
+        """A target that hangs would be sent as many again, each time they expire."""
+        for _ in range(3):
+            self.request(self.open())
+        self.flows.expire(self.now + DEFAULT_TIMEOUT_S + 0.1, 60.0)
+        self.assertEqual(self.failures(), 3 * ["unanswered"])
+        self.assertIsInstance(self.outcomes.health.state(self.now), Ejected)
+
+    def test_a_flow_that_opened_at_another_target_is_no_failure(self):
+        """Both targets accept copies of an opening packet; one of them answers."""
+        for _ in range(3):
+            self.request(self.open(), ack_number=1_000_000)
+        self.flows.expire(self.now + DEFAULT_TIMEOUT_S + 0.1, 60.0)
+        self.assertEqual(self.failures(), [])
+
 
 class UsualAnswerTest(OutcomeCase):
     def test_without_a_usual_answer_nothing_is_judged(self):
