Test that balancers learn of a failing target and of its return

The decisions were tested one by one, not that a report and its acknowledgement carry them.

The usual answers in an acknowledgement are bounded like those in a report: a service with many routes would send more than a datagram should hold.

--- a/src/ryesaddle/internal/target/usual_answers.py
+++ b/src/ryesaddle/internal/target/usual_answers.py
@@ -16,8 +16,8 @@
 MIN_SAMPLES = 10  # of each route
 LOW_QUANTILE = 0.05
 MAX_ROUTES = 64  # whose samples are kept
-# Agents report as many: most services have fewer routes in use. Each takes some 30
-# bytes of the reports that ask for an acknowledgement.
+# Most services have fewer routes in use. Each takes some 30 bytes of the reports that
+# ask for an acknowledgement, and of the acknowledgement.
 MAX_REPORTED_ROUTES = 8
 # Of fewer agents, the median may be that of a failing one.
 MIN_AGENTS = 3
@@ -112,20 +112,22 @@
     ----------
     reported : iterable of tuple of UsualAnswer
         The usual answers of each of its targets. Medians are taken, so that targets
-        that fail do not count while the others are more.
+        that fail do not count while the others are more. Of many routes, those count
+        that most targets report.
     """
     by_front = {}
     for answers in reported:
         for usual in answers:
             by_front.setdefault(usual.front, []).append(usual)
+    known = [answers for answers in by_front.values() if len(answers) >= MIN_AGENTS]
+    known.sort(key=len, reverse=True)
     return tuple(
         UsualAnswer(
-            front,
+            answers[0].front,
             upper_median([usual.time_s for usual in answers]),
             upper_median([usual.size for usual in answers]),
         )
-        for front, answers in by_front.items()
-        if len(answers) >= MIN_AGENTS
+        for answers in known[:MAX_REPORTED_ROUTES]
     )
 
 
--- a/tests/support/passthrough.py
+++ b/tests/support/passthrough.py
@@ -144,6 +144,9 @@
         self.accepted_while_draining = []
         self.crashed = False  # a crashed target neither answers nor returns packets
         self.delays_acks = False  # whether it leaves packets without data unanswered
+        self.answers_requests = False  # otherwise it only acknowledges their packets
+        self.fails = False  # whether it resets the flows of requests instead
+        self.requests = 0
 
     def report(self):
         self.sequence += 1
@@ -410,6 +413,11 @@
             target.flows.add(found.flow)
             answer = packet(found.flow.front, found.flow.caller, SYN | ACK, 7)
             agent.on_target_packet(answer, None)
+        elif found.flow in target.flows and found.has_data and target.answers_requests:
+            target.requests += 1
+            flags, data = (RST, b"") if target.fails else (ACK, b"answer")
+            answer = packet(found.flow.front, found.flow.caller, flags, 8, data=data)
+            agent.on_target_packet(answer, None)
         elif found.flow in target.flows and target.delays_acks:
             return
         elif found.flow in target.flows:
