Keep probes of a cold target within what it bears

The test fails without the change, which asks for a load under 1 as for other flows: it counts a target whose budget is used up as full.

--- a/src/ryesaddle/internal/target/router.py
+++ b/src/ryesaddle/internal/target/router.py
@@ -240,10 +240,11 @@
         if forwarded.assigned:
             return self._deliver_or_queue(forwarded, packet, True, now)
         notify_balancer = forwarded.best is not None or bool(forwarded.asked)
+        is_free = self.load(now) < 1
         match self.outcomes.health.state(now):
-            case Serving() if self.load(now) < 1:
+            case Serving() if is_free:
                 return Deliver("free", notify_balancer)
-            case OnProbation() if self._may_probe(forwarded, now):
+            case OnProbation() if is_free and self._may_probe(forwarded, now):
                 return Deliver("probe", notify_balancer)
         return self._offer_to_next(forwarded, packet, notify_balancer, now)
 
--- a/tests/target/test_warm_up.py
+++ b/tests/target/test_warm_up.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given, strategies as st
 
+from ryesaddle.internal.admission.health import FAILURES_TO_EJECT
 from ryesaddle.internal.routing.packet import Packet
 from ryesaddle.internal.target.router import (
     OVERCOMMIT_FLOWS,
@@ -177,6 +178,19 @@
         self.assertEqual(popped, {flow(3), flow(4)})
         self.assertEqual(self.decide(opening(5), 1.5), Enqueue("busy"))
 
+    def test_probes_of_a_target_that_has_failed_count_and_are_limited(self):
+        """A cold target that failed before would get more than it bears."""
+        health = self.flows.outcomes.health
+        for _ in range(FAILURES_TO_EJECT):
+            health.failed(0.0)
+        now = health.state(0.0).until
+        options = {"repeatable": True, "candidates": (OTHER,)}
+        for number in (3, 4):
+            decision = self.decide(opening(number), now, **options)
+            self.assertEqual(decision, Deliver("probe"))
+            self.flows.record_return(flow(number), opens=True)
+        self.assertIsInstance(self.decide(opening(5), now, **options), OfferTo)
+
     def test_a_target_whose_evacuation_is_lifted_counts_as_cold(self):
         # Its last heartbeat may be from before the removal.
         self.send_heartbeat(3)
