--- a/src/ryesaddle/daemons/passthrough/agent.py
+++ b/src/ryesaddle/daemons/passthrough/agent.py
@@ -366,22 +366,33 @@
         """Log failed requests, and report whether the target gets new flows."""
         now, outcomes = self._now(), self._flows.outcomes
         for failed in outcomes.settle(now):
-            self._metrics.count(f"agent.request_failed.{failed.reason}")
-            event(
-                log,
-                "request-failed",
-                flow=failed.flow,
-                target=self._target_state.target,
-                reason=failed.reason,
-                taken_ms=round(failed.elapsed_s * 1000, 1),
-                size=failed.size,
-                usual_ms=round(failed.usual.time_s * 1000, 1) if failed.usual else "-",
-                usual_size=failed.usual.size if failed.usual else "-",
-            )
+            self._log_failed_request(failed)
         state = outcomes.health.state(now)
-        if type(state) is type(self._health_state):
-            return
-        self._health_state = state
+        if type(state) is not type(self._health_state):
+            self._health_state = state
+            self._log_health(state, now)
+            self._reporter.report()
+
+    def _log_failed_request(self, failed):
+        self._metrics.count(f"agent.request_failed.{failed.reason}")
+        compared_with = {}
+        if failed.usual is not None:
+            compared_with = {
+                "usual_ms": round(failed.usual.time_s * 1000, 1),
+                "usual_size": failed.usual.size,
+            }
+        event(
+            log,
+            "request-failed",
+            flow=failed.flow,
+            target=self._target_state.target,
+            reason=failed.reason,
+            taken_ms=round(failed.elapsed_s * 1000, 1),
+            size=failed.size,
+            **compared_with,
+        )
+
+    def _log_health(self, state, now):
         target = self._target_state.target
         match state:
             case Ejected(until=until, failures=failures, requests=requests):
@@ -398,7 +409,6 @@
                 event(log, "target-on-probation", target=target)
             case Serving():
                 event(log, "target-returns", target=target)
-        self._reporter.report()
 
     def _process_queue(self):
         if not self._queue:
--- a/src/ryesaddle/daemons/passthrough/reporter.py
+++ b/src/ryesaddle/daemons/passthrough/reporter.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 
-from ryesaddle.internal.admission.health import OnProbation
+from ryesaddle.internal.admission.health import OnProbation, Serving
 from ryesaddle.internal.config.evacuation import Evacuations
 from ryesaddle.internal.log import event
 from ryesaddle.internal.membership.drain_record import DrainRecord
@@ -144,7 +144,7 @@
         # balancers, which keep what they know while the target is not named.
         is_named = target_state.is_certain() or target_state.draining
         outcomes = self._router.outcomes
-        health = outcomes.health
+        health_state = outcomes.health.state(now)
         for options, addresses in due_reports.items():
             report = AgentReport(
                 node=self._settings.node,
@@ -164,8 +164,8 @@
                 work_s=round(self._router.work_s(now), 5),
                 forecast=round(self._router.forecast(now), 3),
                 answers_lookups=True,
-                failing=health.is_failing(now),
-                on_probation=isinstance(health.state(now), OnProbation),
+                failing=not isinstance(health_state, Serving),
+                on_probation=isinstance(health_state, OnProbation),
                 usual_answers=outcomes.usual_answers() if options.wants_ack else (),
             )
             self._messages.send_all(addresses, report)
--- a/src/ryesaddle/internal/admission/health.py
+++ b/src/ryesaddle/internal/admission/health.py
@@ -139,7 +139,7 @@
             self._ejections = 0
         ejection_s = BASE_EJECTION_S * 2 ** min(self._ejections, MAX_DOUBLINGS)
         self._ejections += 1
-        # The target serves no request of all kinds until it returns.
+        # No time counts as service until the target returns.
         self._returned_at = math.inf
         self._state = Ejected(now + ejection_s, failures, requests)
 
