Do not count a long answer as short while it is being sent

On a flow that stays open the end of an answer cannot be told, so that a quick answer is judged 20 ms after its start. A target sends no more than 19,200 bytes before its caller acknowledges some: a fast target of a route with longer answers, and with callers far away, would have been ejected. Found by reading; the test fails without the change.

--- a/src/ryesaddle/internal/routing/packet.py
+++ b/src/ryesaddle/internal/routing/packet.py
@@ -7,8 +7,10 @@
 from ryesaddle.internal.address import Address
 
 # Callers and targets have at most 16 packets of 1,200 bytes in flight each way; a reset
-# may be as far from the last acknowledgement (the platform's PROTOCOL, section Flows).
-MAX_ACK_DISTANCE = 76_800
+# may be four times as far from the last acknowledgement (the platform's PROTOCOL,
+# section Flows).
+MAX_BYTES_IN_FLIGHT = 16 * 1_200
+MAX_ACK_DISTANCE = 4 * MAX_BYTES_IN_FLIGHT
 
 
 class Flow(NamedTuple):
--- a/src/ryesaddle/internal/target/outcomes.py
+++ b/src/ryesaddle/internal/target/outcomes.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ryesaddle.internal.admission.health import Health
-from ryesaddle.internal.routing.packet import Flow
+from ryesaddle.internal.routing.packet import MAX_BYTES_IN_FLIGHT, Flow
 from ryesaddle.internal.target.usual_answers import AnswerSamples, UsualAnswer
 from ryesaddle.internal.target.work_estimate import WorkEstimate
 
@@ -156,7 +156,9 @@
 
     def _judge(self, answer, now):
         usual = self._usual(answer.flow.front)
-        if usual is not None and answer.size < SHORT_SHARE * usual.size:
+        # More than that may be to come if the flow stays open.
+        expected_size = min(usual.size, MAX_BYTES_IN_FLIGHT) if usual else 0
+        if answer.size < SHORT_SHARE * expected_size:
             answer.judged = answer.failed = True
             failure = RequestFailed(
                 answer.flow, "quick-and-short", answer.elapsed_s, answer.size, usual
--- a/tests/target/test_outcomes.py
+++ b/tests/target/test_outcomes.py
@@ -2,7 +2,7 @@
 
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.admission.health import Ejected, Serving
-from ryesaddle.internal.routing.packet import Flow, Packet
+from ryesaddle.internal.routing.packet import MAX_BYTES_IN_FLIGHT, Flow, Packet
 from ryesaddle.internal.target.flows import DEFAULT_TIMEOUT_S, TargetFlows
 from ryesaddle.internal.target.outcomes import ANSWER_SETTLE_S
 from ryesaddle.internal.target.usual_answers import (
@@ -108,6 +108,18 @@
         self.now += 2 * ANSWER_SETTLE_S
         self.assertEqual(self.failures(), ["quick-and-short"])
 
+    def test_a_long_answer_that_is_still_being_sent_is_not_short(self):
+        """A target sends what may be in flight, and the rest after a round trip."""
+        front_usual = UsualAnswer(FRONT, 0.03, 80_000)
+        self.outcomes.set_service_usual((front_usual,))
+        flow = self.open()
+        self.request(flow)
+        self.now += 0.001
+        for number in range(MAX_BYTES_IN_FLIGHT // 1_200):
+            self.target_sends(flow, sequence_number=100 + 1_200 * number, size=1_200)
+        self.now += 2 * ANSWER_SETTLE_S
+        self.assertEqual(self.failures(), [])
+
     def test_a_target_that_is_full_may_turn_requests_away(self):
         """A target under a burst would be ejected."""
         for _ in range(20):
