--- a/bench/failing_targets.py
+++ b/bench/failing_targets.py
@@ -77,17 +77,7 @@
 
 
 class FailingTargetSimulation(LoadPatternSimulation):
-    """Simulates one `FailurePattern` under one policy.
-
-    Attributes
-    ----------
-    requests_failed : int
-        Requests that a target has failed, those that were repeated included.
-    """
-
-    def __init__(self, pattern, policy, seed=1):
-        super().__init__(pattern, policy, seed)
-        self.requests_failed = 0
+    """Simulates one `FailurePattern` under one policy."""
 
     def _is_repeatable(self, flow):
         return flow.front != SUBMISSION_ADDRESS
@@ -120,7 +110,6 @@
             super()._start_request(now, node, flow)
 
     def _fail_request(self, now, node, flow):
-        self.requests_failed += 1
         if self._pattern.how == "reset":
             packet = Packet(flow, resets=True)
         else:
