Review case 5: the entry of a live agent is deleted

A balancer that joins while an agent is cut off deletes its entry later; balancers that are added then reset its flows.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 leaves the disruption out.
+exec python3 -B "$(dirname "$0")/case.py"
