Take only complete heartbeats of the own target for its state

Cause: the decoder had defaults for four fields of a heartbeat and read two others not at all, so that a report of another writer with service, state and seq was valid. TargetState then began a new run, and remembered the real target as ended for good.

TargetState checks the address, ignores a heartbeat without the start that the present target tells, and lets one that cannot be ordered replace the present target only if that has missed a heartbeat or if it is the first one of a target. A target that was replaced by mistake is heard again.

--- a/src/ryesaddle/daemons/passthrough/heartbeat_handler.py
+++ b/src/ryesaddle/daemons/passthrough/heartbeat_handler.py
@@ -133,6 +133,12 @@
             return self._answer_when_recorded(report.target)
         return HttpReply(200, b"{}")
 
+    def handle_malformed_heartbeat(self, target):
+        """Reject a heartbeat that no target sends; return the `HttpReply`."""
+        self._metrics.count("agent.heartbeat_malformed")
+        event(log, "heartbeat-malformed", target=target)
+        return HttpReply(400, b"{}")
+
     def check_pending_answers(self):
         """Answer the heartbeats whose draining was recorded or timed out."""
         now = self._now()
--- a/src/ryesaddle/daemons/passthrough/run_agent.py
+++ b/src/ryesaddle/daemons/passthrough/run_agent.py
@@ -98,7 +98,9 @@
     rng = random.Random(incarnation)
     metrics = Metrics()
     store = StoreClient(api, rng, metrics=metrics)
-    target_state = TargetState(settings.service, settings.heartbeat_ms / 1000)
+    target_state = TargetState(
+        settings.service, settings.heartbeat_ms / 1000, settings.target_address
+    )
     target_state.restored_confirmed = False
     flows = TargetFlows(loop.time(), settings.flow_max_s)
     own_candidate = Candidate(settings.node, settings.peer)
--- a/src/ryesaddle/internal/target/first_heartbeat.py
+++ b/src/ryesaddle/internal/target/first_heartbeat.py
@@ -1,6 +1,7 @@
 """Whether the first heartbeat that an agent hears shows that no flow came before it."""
 
-FIRST_SEQUENCE = 1  # of the heartbeat that a target sends when it starts
+from ryesaddle.internal.target.report import FIRST_SEQUENCE
+
 # A target sends its second heartbeat one interval after an acknowledged first one, and
 # much sooner otherwise. A heartbeat within three quarters of an interval of its start
 # thus shows that none has been acknowledged.
--- a/src/ryesaddle/internal/target/report.py
+++ b/src/ryesaddle/internal/target/report.py
@@ -2,6 +2,10 @@
 
 import msgspec
 
+from ryesaddle.internal.address import Address
+
+FIRST_SEQUENCE = 1  # of the heartbeat that a target sends when it starts
+
 
 class TargetReport(msgspec.Struct, frozen=True):
     """One heartbeat of a target.
@@ -16,6 +20,8 @@
         Increases with each heartbeat of one run of the target.
     started_at : int or None
         Start of the target in milliseconds since the epoch, if it reports that.
+    address : Address or None
+        Where the target receives packets; None if it does not tell.
     draining : bool
         Whether it is about to stop.
     slots : int
@@ -28,6 +34,7 @@
     service: str
     sequence: int
     started_at: int | None = None
+    address: Address | None = None
     draining: bool = False
     slots: int = 1
     warm_up_s: float = 0.0
--- a/src/ryesaddle/internal/target/state.py
+++ b/src/ryesaddle/internal/target/state.py
@@ -4,13 +4,16 @@
 
 import msgspec
 
-from ryesaddle.internal.target.report import TargetReport
+from ryesaddle.internal.target.report import FIRST_SEQUENCE, TargetReport
 
 # Ended targets that are remembered, so that their late heartbeats are ignored.
 MAX_ENDED_TARGETS = 64
 # Heartbeats that the present start must have missed before a start that seems earlier
 # replaces it: the host's clock was set back in between.
 MISSED_BEFORE_EARLIER_START = 2
+# Heartbeats that the present target must have missed before another one that cannot be
+# ordered by its start replaces it; with the time that a heartbeat may take.
+MISSED_BEFORE_REPLACEMENT = 1.25
 
 
 class Applied(msgspec.Struct, frozen=True):
@@ -27,7 +30,7 @@
 
 
 class Ignored(msgspec.Struct, frozen=True):
-    """The heartbeat is outdated or from another service, as ``reason`` says."""
+    """The heartbeat is outdated or of another target, as ``reason`` says."""
 
     reason: str
 
@@ -42,12 +45,21 @@
     sequence, half an interval or more apart, while the present run is silent. The same
     holds for a target that is restored as draining and says that it is ready.
 
+    Targets tell their start in each heartbeat or in none. A heartbeat without it is
+    therefore not of a target that has told it. Without it, a heartbeat of another
+    target may be a late one of an earlier target, or of another writer. It replaces
+    the present target only if that is silent, or if it is the first one of a target
+    that has just started. While a target that is about to stop is heard, no other one
+    reopens the agent, because the next one at its address starts after its end.
+
     Parameters
     ----------
     service : str
         The service that the target beside this agent belongs to.
     heartbeat_s : float
         Expected time between two heartbeats, in seconds.
+    address : Address, optional
+        Where the target beside this agent receives packets.
 
     Attributes
     ----------
@@ -56,8 +68,9 @@
         that a restored state is the last one.
     """
 
-    def __init__(self, service, heartbeat_s):
+    def __init__(self, service, heartbeat_s, address=None):
         self._service = service
+        self._address = address
         self._heartbeat_s = heartbeat_s
         self._ended_targets = OrderedDict()  # identifier: start time or None
         self._restored = None  # (identifier, draining), until the first heartbeat
@@ -131,7 +144,11 @@
         """
         if report.service != self._service:
             return Ignored("other-service")
+        if self._is_at_other_address(report):
+            return Ignored("other-address")
         current = self.last_report
+        if self._lacks_start(report, current):
+            return Ignored("no-start")
         if current is not None and self._is_same_run(report, current):
             return self._update_run(current, report, now)
         if self._is_from_ended(report):
@@ -140,6 +157,8 @@
             reason = "started-before"
         elif self._contradicts_restored(report):
             reason = "drained-before"
+        elif current is not None and self._is_unordered(report, current, now):
+            reason = "not-confirmed"
         else:
             return self._begin_run(report, now)
         if not self._is_running(report, now):
@@ -196,11 +215,6 @@
 
     def _is_running(self, report, now):
         """Whether a run that seems outdated is the present one, from its heartbeats."""
-        if report.target in self._ended_targets and report.started_at in (
-            None,
-            self._ended_targets[report.target],
-        ):
-            return False
         previous, self._earlier_start = self._earlier_start, (report, now)
         if previous is None or not self._is_same_run(report, previous[0]):
             return False
@@ -235,6 +249,31 @@
             return True
         return report.started_at == other.started_at
 
+    def _is_at_other_address(self, report):
+        if report.address is None or self._address is None:
+            return False
+        return report.address != self._address
+
+    def _is_unordered(self, report, current, now):
+        """Whether nothing shows which of two targets has started later.
+
+        The first heartbeat of a target shows that it has just started. The present
+        target has ended if it is silent.
+        """
+        if report.started_at is not None and current.started_at is not None:
+            return False
+        reopens = current.draining and not report.draining
+        if report.sequence <= FIRST_SEQUENCE and not reopens:
+            return False
+        return not self.has_missed_heartbeats(now, MISSED_BEFORE_REPLACEMENT)
+
+    @staticmethod
+    def _lacks_start(report, current):
+        """Whether a heartbeat lacks the start that the present target tells."""
+        if current is None or current.started_at is None:
+            return False
+        return report.started_at is None
+
     @staticmethod
     def _is_older(report: TargetReport, other: TargetReport):
         if report.started_at is None or other.started_at is None:
--- a/src/ryesaddle/platform/role.py
+++ b/src/ryesaddle/platform/role.py
@@ -97,5 +97,5 @@
         return heartbeats.handle_goodbye(target)
     report = read_heartbeat(target, req.body)
     if report is None:
-        return HttpReply(400, b"{}")
+        return heartbeats.handle_malformed_heartbeat(target)
     return heartbeats.handle_heartbeat(report)
--- a/tests/platform/test_heartbeat.py
+++ b/tests/platform/test_heartbeat.py
@@ -30,12 +30,22 @@
         self.assertTrue(self.read(state="draining").draining)
 
     def test_missing_or_invalid_fields_are_rejected(self):
-        for name in ("service", "state", "seq"):
+        for name in HEARTBEAT:
             body = {key: value for key, value in HEARTBEAT.items() if key != name}
             self.assertIsNone(read_heartbeat("i-1", json.dumps(body).encode()))
         for changes in ({"state": "asleep"}, {"seq": "4"}, {"slots": 0}, {"born": "x"}):
             self.assertIsNone(self.read(**changes))
 
+    def test_fields_of_another_type_are_rejected(self):
+        """Guards against the report of another writer that changes the target's."""
+        for name, value in HEARTBEAT.items():
+            for wrong in (None, [value], {}, True, 1.5 if value == 4 else [1]):
+                self.assertIsNone(self.read(**{name: wrong}), (name, wrong))
+        for changes in ({"born": None}, {"slots": 2**70}, {"address": "10.128.0.9"}):
+            self.assertIsNone(self.read(**changes))
+        body = json.dumps({**HEARTBEAT, "more": "x"}).encode()
+        self.assertIsNone(read_heartbeat("i-1", body.replace(b'"x"', b'"\xff"')))
+
     @given(st.binary(max_size=200))
     def test_arbitrary_bytes_raise_no_error(self, body):
         read_heartbeat("i-1", body)
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -1,4 +1,5 @@
 import asyncio
+import json
 import random
 import re
 import signal
@@ -19,6 +20,7 @@
     SERVICE_ADDRESSES,
     WAIT_TIMEOUT_S,
     PlatformDeployment,
+    Target,
     configuration,
 )
 
@@ -234,6 +236,26 @@
         stored = await StoreClient(api, random.Random(1)).get(TARGET_KIND, host)
         self.assertTrue(stored.spec["draining"])
 
+    async def test_a_report_of_another_writer_reopens_no_draining_target(self):
+        """Guards against new flows at a target whose draining was acknowledged."""
+        deployment = self.deployment
+        draining_target, host = deployment.targets[0], deployment.agent_hosts[0]
+        draining_target.state = "draining"
+        await deployment.wait_until(lambda: draining_target.drain_acknowledged)
+        foreign = {**draining_target.report(), "state": "ready", "seq": 10**6}
+        other = Target("i-other", "case-desk", *draining_target.addresses)
+        for name in foreign:
+            incomplete = {key: foreign[key] for key in foreign if key != name}
+            mistyped = {**foreign, name: None}
+            for body in (incomplete, mistyped):
+                for writer in (draining_target, other):
+                    is_accepted = await writer.post_heartbeat(json.dumps(body).encode())
+                    self.assertFalse(is_accepted, body)
+        found = await deployment.status(host)
+        self.assertEqual(found["target"], draining_target.name)
+        self.assertTrue(found["draining"])
+        self.assertFalse(found["open"])
+
     async def is_restored(self, host):
         found = await self.deployment.status(host)
         return found is not None and found["target"] != ""
--- a/tests/support/platform_deployment.py
+++ b/tests/support/platform_deployment.py
@@ -73,6 +73,11 @@
         self.drain_acknowledged = False
         self._transport = None
 
+    @property
+    def addresses(self):
+        """Where it receives packets, and where it sends packets and heartbeats."""
+        return self.app, self.outbound, self.admin
+
     async def open(self):
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, local_addr=self.app)
--- a/tests/target/test_state.py
+++ b/tests/target/test_state.py
@@ -3,6 +3,7 @@
 import msgspec
 from hypothesis import given, strategies as st
 
+from ryesaddle.internal.address import Address
 from ryesaddle.internal.target.report import TargetReport
 from ryesaddle.internal.target.state import Applied, Ignored, TargetState
 
@@ -95,6 +96,54 @@
         self.assertTrue(state.has_missed_heartbeats(2.1 * HEARTBEAT_INTERVAL_S, 2))
 
 
+class OtherWriterTest(unittest.TestCase):
+    """Guards against a heartbeat of another writer that replaces the target."""
+
+    def hear(self, state, now, *args, **more):
+        return state.apply_heartbeat(report(*args, **more), now)
+
+    def test_a_heartbeat_without_the_start_that_the_target_tells_is_ignored(self):
+        for born, expected in ((1_000, "no-start"), (None, "not-confirmed")):
+            state = state_after(report("i-1", 4, started_at=born, draining=True))
+            # Such a heartbeat is ignored also while the target is silent.
+            late_s = 0.5 if born is None else 30.0
+            self.assertEqual(self.hear(state, late_s, "i-other", 3), Ignored(expected))
+            same = self.hear(state, 0.6, "i-1", 9, draining=True)
+            self.assertEqual(same, Ignored("no-start") if born else Applied("same"))
+            self.assertTrue(state.is_draining("i-1"))
+
+    def test_a_target_that_is_heard_is_replaced_only_by_one_that_has_just_started(self):
+        state = state_after(report("i-1", 4))
+        self.assertEqual(self.hear(state, 0.5, "i-2", 7), Ignored("not-confirmed"))
+        self.assertEqual(self.hear(state, 0.6, "i-2", 1), Applied("started"))
+
+    def test_a_target_that_drains_is_not_replaced_while_it_is_heard(self):
+        state = state_after(report("i-1", 4, draining=True))
+        self.assertEqual(self.hear(state, 0.5, "i-2", 1), Ignored("not-confirmed"))
+        self.assertTrue(state.is_draining("i-1"))
+        # It has ended without a goodbye.
+        self.assertEqual(self.hear(state, 1.5, "i-2", 2), Applied("started"))
+
+    def test_a_target_at_another_address_is_ignored(self):
+        own, other = Address("10.0.0.1", 80), Address("10.0.0.2", 80)
+        state = TargetState("case-desk", HEARTBEAT_INTERVAL_S, own)
+        ignored = self.hear(state, 0.0, "i-2", 1, address=other)
+        self.assertEqual(ignored, Ignored("other-address"))
+        heard = self.hear(state, 0.0, "i-1", 1, address=own)
+        self.assertEqual(heard, Applied("started"))
+
+    def test_a_target_that_was_replaced_by_mistake_is_heard_again(self):
+        for born in (None, 1_000):
+            state = state_after(report("i-1", 4, started_at=born))
+            later = born and born + 1
+            self.hear(state, 0.5, "i-other", 1, started_at=later)
+            self.assertEqual(state.target, "i-other")
+            for sequence in range(5, 9):
+                now = sequence * HEARTBEAT_INTERVAL_S
+                self.hear(state, now, "i-1", sequence, started_at=born, draining=True)
+            self.assertTrue(state.is_draining("i-1"))
+
+
 class ClockChangeTest(unittest.TestCase):
     """A target starts again after its host's clock was set back."""
 
