Disown unknown flows only after the start of the first target

Cause: a heartbeat with the number 1 that began a run proved to an agent that it knows all flows of its target, for the rest of its life and whatever target it had heard before. A heartbeat of another writer in a pause of the target, or before a restarted agent heard it, was enough.

Change: the proof counts for the first target that an agent hears and for the one after a goodbye, not for a target that started more than 5 s ago, and ends when a target is heard that was running before. Otherwise the agent asks the target, which takes one packet on the host.

--- a/src/ryesaddle/daemons/passthrough/heartbeat_handler.py
+++ b/src/ryesaddle/daemons/passthrough/heartbeat_handler.py
@@ -10,6 +10,7 @@
 from ryesaddle.internal.log import event
 from ryesaddle.internal.membership.directory import TargetEntry
 from ryesaddle.internal.target.first_heartbeat import shows_no_earlier_flow
+from ryesaddle.internal.target.report import FIRST_SEQUENCE
 from ryesaddle.internal.target.state import Applied, Ignored
 
 log = logging.getLogger(__name__)
@@ -61,7 +62,9 @@
         self._metrics = metrics
         self.target_known = asyncio.Event()
         self.on_target_started = lambda: None
-        self._first_heartbeat = None  # (report, age of the target in seconds or None)
+        # Of the first target, or of the first one after a goodbye: the report, and the
+        # age of the target in seconds or None.
+        self._first_heartbeat = None
         self._stored_target = None
         self._pending_answers = deque()
         self._next_request_at = 0.0
@@ -95,6 +98,26 @@
         self._stored_target = target
         self._check_first_heartbeat()
 
+    def _record_start(self, report):
+        """Conclude from a heartbeat that began a run which flows the target may hold.
+
+        If another target was heard before and has said no goodbye, it may still run: a
+        heartbeat of another writer can look like that of the next target. All flows
+        since the first target was heard have passed this agent, so that nothing
+        follows from a later first heartbeat. A target that was running before it was
+        heard may hold flows from before this process started.
+        """
+        if self._first_heartbeat is None:
+            age_s = None
+            if report.started_at is not None:
+                age_s = time.time() - report.started_at / 1000
+            self._first_heartbeat = (report, age_s)
+            self._check_first_heartbeat()
+        elif report.sequence > FIRST_SEQUENCE:
+            self._first_heartbeat = (report, None)
+            self._flows.forget_target_start()
+            event(log, "flows-unknown", target=report.target, sequence=report.sequence)
+
     def _check_first_heartbeat(self):
         if self._first_heartbeat is None:
             return
@@ -161,6 +184,7 @@
         """Handle the message of a target that stops; return the `HttpReply`."""
         if self._target_state.mark_ended(target):
             event(log, "target", target=target, change="left")
+            self._first_heartbeat = None
             self._reporter.report()
             self._reconciler.set_desired(None)
         return HttpReply(200, b"{}")
@@ -229,11 +253,7 @@
         )
         self.target_known.set()
         if change == "started":
-            age_s = None
-            if report.started_at is not None:
-                age_s = time.time() - report.started_at / 1000
-            self._first_heartbeat = (report, age_s)
-            self._check_first_heartbeat()
+            self._record_start(report)
         self._reporter.report()
         if change == "started":
             self._flows.outcomes.record_target_start()
--- a/src/ryesaddle/internal/target/first_heartbeat.py
+++ b/src/ryesaddle/internal/target/first_heartbeat.py
@@ -7,10 +7,12 @@
 # thus shows that none has been acknowledged.
 MAX_AGE_INTERVALS = 0.75
 MIN_AGE_S = -0.05  # the clocks of one host agree, but their readings are rounded
+# A first heartbeat waits in the accept queue while its agent starts.
+MAX_FIRST_AGE_S = 5.0
 
 
 def shows_no_earlier_flow(report, age_s, heartbeat_s, stored_target):
-    """Whether an agent that hears a target for the first time knows all its flows.
+    """Whether an agent that hears its first target knows all flows of that.
 
     Load pattern: a power loss of all hosts, after which agents start later than their
     targets. Each flow that an agent may not know costs a packet to its target.
@@ -33,7 +35,7 @@
         entry; None if the store could not be read.
     """
     if report.sequence == FIRST_SEQUENCE:
-        return True
+        return age_s is None or age_s <= MAX_FIRST_AGE_S
     if age_s is None or stored_target is None or stored_target == report.target:
         return False
     return MIN_AGE_S <= age_s <= MAX_AGE_INTERVALS * heartbeat_s
--- a/src/ryesaddle/internal/target/flows.py
+++ b/src/ryesaddle/internal/target/flows.py
@@ -72,7 +72,9 @@
 
     def __init__(self, started_at=0.0, max_age_s=DEFAULT_MAX_AGE_S):
         self._max_age_s = max_age_s
-        self._complete_from = started_at + max_age_s
+        # All flows that the target had before the agent started have ended by then.
+        self._outlived_at = started_at + max_age_s
+        self._complete_from = self._outlived_at
         self._flows = OrderedDict()
         self._opening = OrderedDict()
         # Flows whose opening packet was given to other agents though the target may
@@ -103,6 +105,10 @@
         """
         self._complete_from = min(self._complete_from, now)
 
+    def forget_target_start(self):
+        """Forget `record_target_start`, because it was about another target."""
+        self._complete_from = self._outlived_at
+
     def in_flight(self, now):
         """Return the number of requests in flight at the target."""
         opening_timeout_s = self._opening_timeout_s()
--- a/tests/routing/test_passthrough.py
+++ b/tests/routing/test_passthrough.py
@@ -37,6 +37,7 @@
 )
 from ryesaddle.internal.target.flows import COPY_PERIOD_S, TargetFlows
 from ryesaddle.internal.target.lookups import FlowLookups
+from ryesaddle.internal.target.report import TargetReport
 from ryesaddle.internal.target.router import OVERCOMMIT_FLOWS
 from ryesaddle.internal.target.state import TargetState
 from ryesaddle.internal.wire.passthrough import FlowLookup
@@ -1049,6 +1050,57 @@
         self.assertEqual((answers, resets), ([], [Flow(caller(1), unrouted)]))
 
 
+class DisownedFlowsTest(unittest.TestCase):
+    """Guards against resets of flows of a target that another writer has replaced."""
+
+    def setUp(self):
+        self.world = started(1, 2)
+        self.world.send(1, caller(1), SYN)
+        self.flow = Flow(caller(1), FRONT)
+        self.number = next(
+            n for n, (_, t) in self.world.agents.items() if self.flow in t.flows
+        )
+        self.target = self.world.agents[self.number][1]
+        # The next agent does not know the flow.
+        self.world.start_agent(self.number, SERVICE, self.target)
+
+    def hear(self, name, sequence):
+        foreign = TargetReport(name, SERVICE, sequence, slots=2)
+        self.world.heartbeats[self.number].handle_heartbeat(foreign)
+        self.world.settle()
+
+    def send(self):
+        """Send a packet of the flow through a balancer that does not know its agent."""
+        self.world.start_balancer(2)
+        for number in self.world.agents:
+            self.world.report(number)
+        return self.world.send(2, self.flow.caller)
+
+    def test_a_foreign_first_heartbeat_during_a_pause_of_the_target(self):
+        for _ in range(8):
+            self.target.report()
+        self.world.heartbeat(self.number)
+        self.world.pass_time(2.0)
+        self.hear("i-other", 1)
+        self.assertEqual(self.send(), ([self.flow], []))
+
+    def test_a_foreign_first_heartbeat_before_the_target_is_heard(self):
+        for _ in range(8):
+            self.target.report()
+        self.hear("i-other", 1)
+        self.world.pass_time(2.0)
+        self.world.heartbeat(self.number)
+        self.assertEqual(self.send(), ([self.flow], []))
+
+    def test_a_first_heartbeat_after_a_goodbye_proves_that_no_flow_is_left(self):
+        self.world.heartbeat(self.number)
+        self.world.heartbeats[self.number].handle_goodbye(self.target.name)
+        self.target.flows.clear()
+        self.hear("i-next", 1)
+        agent, _ = self.world.agents[self.number]
+        self.assertTrue(agent._router.is_absent(self.world.now))
+
+
 class TargetReplacementTest(unittest.TestCase):
     def waiting_flow(self, world):
         """Open a flow whose caller awaits an answer; return it and its agent number."""
--- a/tests/target/test_first_heartbeat.py
+++ b/tests/target/test_first_heartbeat.py
@@ -18,6 +18,9 @@
         self.assertTrue(self.shows(stored_target=""))
         self.assertTrue(self.shows(sequence=1, age_s=None, stored_target=None))
 
+    def test_a_first_heartbeat_of_a_target_that_runs_for_long_shows_nothing(self):
+        self.assertFalse(self.shows(sequence=1, age_s=10.0))
+
     def test_a_target_that_an_earlier_run_may_have_heard_may_have_flows(self):
         # The second heartbeat after an acknowledged one comes after an interval.
         self.assertFalse(self.shows(age_s=HEARTBEAT_S))
