Do not replace a target by one with the same start

Two targets cannot start at one address in the same millisecond, so a heartbeat with the start of the present target and another identifier is of another writer. It replaced the target, and reopened one that drains. The test failed before.

--- a/src/ryesaddle/internal/target/state.py
+++ b/src/ryesaddle/internal/target/state.py
@@ -276,6 +276,7 @@
 
     @staticmethod
     def _is_older(report: TargetReport, other: TargetReport):
+        """Whether a report of another run is of one that did not start later."""
         if report.started_at is None or other.started_at is None:
             return False
-        return report.started_at < other.started_at
+        return report.started_at <= other.started_at
--- a/tests/target/test_state.py
+++ b/tests/target/test_state.py
@@ -124,6 +124,12 @@
         # It has ended without a goodbye.
         self.assertEqual(self.hear(state, 1.5, "i-2", 2), Applied("started"))
 
+    def test_a_copy_of_a_heartbeat_under_another_identifier_is_ignored(self):
+        state = state_after(report("i-1", 4, started_at=1_000, draining=True))
+        copied = self.hear(state, 0.5, "i-other", 5, started_at=1_000)
+        self.assertEqual(copied, Ignored("started-before"))
+        self.assertTrue(state.is_draining("i-1"))
+
     def test_a_target_at_another_address_is_ignored(self):
         own, other = Address("10.0.0.1", 80), Address("10.0.0.2", 80)
         state = TargetState("case-desk", HEARTBEAT_INTERVAL_S, own)
