Doubt a list of agents after a cut, a pause or a return

Cause: a list of agents that was complete once counted as complete for good, and processes that had given each other up after 15 s never wrote to each other again, as entries were listed only at the start.

Change: a balancer concludes nothing from its list after it was out of contact for 1 s, or once a process is heard again that was silent in the same run, until it has checked its own entry and listed the others anew. Agents do the same for theirs after 5 s. Silent agents are asked for reports each second, and given-up processes are tried every 2 s.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -11,6 +11,7 @@
 from tests.support.platform_deployment import SERVICE_ADDRESSES, PlatformDeployment
 
 BALANCER_COUNT = 3
+STORE_NAME = "store"  # in the links of the network
 TARGET_SERVICES = (
     "case-desk",
     "case-desk",
@@ -20,38 +21,25 @@
 )
 
 
-class SoakDeployment(PlatformDeployment):
-    """A deployment in which every link passes through a proxy or a simulated network.
+class ProxiedDeployment(PlatformDeployment):
+    """A deployment in which every link between hosts passes through a proxy.
 
     Parameters
     ----------
+    balancers : int
+        Number of balancers.
+    services : sequence of str
+        The service of each target.
     seed : int
         Seed of the random packet loss.
-    logs : path-like
-        Folder that the logs of the processes are copied to.
+    late_hosts : sequence of str
+        Hosts that are not started with the others.
     """
 
-    def __init__(self, seed, logs):
-        super().__init__(BALANCER_COUNT, TARGET_SERVICES)
-        self.logs = Path(logs)
+    def __init__(self, balancers, services, seed=0, late_hosts=()):
+        super().__init__(balancers, services)
+        self._late_hosts = frozenset(late_hosts)
         self.network = Network(random.Random(seed))
-        self.checker = InvariantChecker(SERVICE_ADDRESSES)
-        self.targets = [
-            SoakTarget(
-                target.name,
-                target.service,
-                target.app,
-                target.outbound,
-                target.admin,
-                self.checker,
-            )
-            for target in self.targets
-        ]
-        callers = [self.at(edge, "callers") for edge in self.balancer_hosts]
-        self.router = Router(callers, self.ports["ready"])
-        self.caller = SoakCaller(
-            self.caller.address, self.network, self.router, self.checker
-        )
         self.message_proxies, self.store_proxies = {}, {}
         for host in (*self.balancer_hosts, *self.agent_hosts):
             public = self.at(proxy_host(host), "peer")
@@ -64,11 +52,40 @@
             )
 
     async def start(self):
-        """Start everything and wait until new flows can be served."""
+        """Start everything but the late hosts, and wait until flows can be served."""
         for proxy in (*self.message_proxies.values(), *self.store_proxies.values()):
             await proxy.open()
-        await super().start()
-        self.run_in_background(self.router.run())
+        all_hosts = self.balancer_hosts, self.agent_hosts
+        self.balancer_hosts, self.agent_hosts = (
+            [host for host in hosts if host not in self._late_hosts]
+            for hosts in all_hosts
+        )
+        targets = self.targets
+        self.targets = [
+            target for target in targets if target.app.host not in self._late_hosts
+        ]
+        try:
+            await super().start()
+        finally:
+            self.balancer_hosts, self.agent_hosts = all_hosts
+            self.targets = targets
+
+    async def start_late(self, host):
+        """Start a late host, with its target if it has one."""
+        if host in self.agent_hosts:
+            target = self.target_of(host)
+            await target.open()
+            self.run_in_background(target.send_heartbeats())
+        self.start_process(host)
+
+    def isolate(self, host, is_cut):
+        """Cut a host off from all other hosts and from the store, or end this."""
+        others = {*self.balancer_hosts, *self.agent_hosts, STORE_NAME} - {host}
+        for other in others:
+            self.network.cut(host, other, is_cut)
+            self.network.cut(other, host, is_cut)
+        if is_cut:
+            self.store_proxies[host].reset()
 
     def settings_of(self, host):
         """Return the settings of a process, and the addresses it binds first."""
@@ -79,21 +96,61 @@
             fields["peer_listen"] = str(self.at(host, "peer"))
         return fields, *first_bound
 
+    def target_of(self, host):
+        """Return the target beside an agent."""
+        return self.targets[self.agent_hosts.index(host)]
+
+    async def stop(self):
+        """Stop the proxies and everything that was started."""
+        for proxy in (*self.message_proxies.values(), *self.store_proxies.values()):
+            proxy.close()
+        await super().stop()
+
+
+class SoakDeployment(ProxiedDeployment):
+    """The deployment of a soak, whose callers and targets check what they see.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the random packet loss.
+    logs : path-like
+        Folder that the logs of the processes are copied to.
+    """
+
+    def __init__(self, seed, logs):
+        super().__init__(BALANCER_COUNT, TARGET_SERVICES, seed)
+        self.logs = Path(logs)
+        self.checker = InvariantChecker(SERVICE_ADDRESSES)
+        self.targets = [
+            SoakTarget(
+                target.name,
+                target.service,
+                *target.addresses,
+                self.checker,
+            )
+            for target in self.targets
+        ]
+        callers = [self.at(edge, "callers") for edge in self.balancer_hosts]
+        self.router = Router(callers, self.ports["ready"])
+        self.caller = SoakCaller(
+            self.caller.address, self.network, self.router, self.checker
+        )
+
+    async def start(self):
+        """Start everything and wait until new flows can be served."""
+        await super().start()
+        self.run_in_background(self.router.run())
+
     def start_process(self, host):
         """Start the balancer or the agent of a host."""
         if host in self.balancer_hosts:
             self.checker.balancer_started(host)
         super().start_process(host)
 
-    def target_of(self, host):
-        """Return the target beside an agent."""
-        return self.targets[self.agent_hosts.index(host)]
-
     async def stop(self):
-        """Copy the logs, then stop the proxies and everything that was started."""
+        """Copy the logs, then stop everything that was started."""
         self.logs.mkdir(parents=True, exist_ok=True)
         for file in self.folder.glob("*.log"):
             (self.logs / file.name).write_bytes(file.read_bytes())
-        for proxy in (*self.message_proxies.values(), *self.store_proxies.values()):
-            proxy.close()
         await super().stop()
--- a/src/ryesaddle/daemons/passthrough/agent_monitor.py
+++ b/src/ryesaddle/daemons/passthrough/agent_monitor.py
@@ -17,6 +17,8 @@
 
 # Half of the time after which an agent that has not answered is probed.
 PROBE_INTERVAL_S = 0.1
+# A request may be lost, and an agent gives up a balancer that it does not hear.
+REQUEST_INTERVAL_S = 1.0
 
 
 class AgentMonitor:
@@ -57,6 +59,7 @@
         self._evacuations = evacuations
         self._route_updater = route_updater
         self._eras = eras or EraTracker()
+        self._next_request_at = 0.0
         messages.on(AgentReport, self._on_report)
 
     def digest(self):
@@ -128,13 +131,22 @@
 
     async def run(self):
         """Request reports from agents that have not answered, until cancelled."""
-        request = ReportRequest(self._entry.node, self._entry.address)
         while True:
             await asyncio.sleep(PROBE_INTERVAL_S)
-            for node in self._liveness.to_probe(self._now()):
-                member = self._directory.find(node)
-                if member is not None:
-                    self._messages.send(member.address, request)
+            self.request_reports()
+
+    def request_reports(self):
+        """Request reports from agents that owe an answer, and from all silent ones."""
+        now = self._now()
+        nodes = set(self._liveness.to_probe(now))
+        if now >= self._next_request_at:
+            self._next_request_at = now + REQUEST_INTERVAL_S
+            nodes |= self._directory.silent_agents(now)
+        request = ReportRequest(self._entry.node, self._entry.address)
+        for node in nodes:
+            member = self._directory.find(node)
+            if member is not None:
+                self._messages.send(member.address, request)
 
     def _on_report(self, report, addr):
         now = self._now()
--- a/src/ryesaddle/daemons/passthrough/balancer.py
+++ b/src/ryesaddle/daemons/passthrough/balancer.py
@@ -332,7 +332,7 @@
 
     def _on_lookup_result(self, result, addr):
         node = result.node
-        self._placement.liveness.heard(node)
+        self._record_sign_of_life(node)
         for found in result.held:
             self._finish_search(Flow(found.caller, found.front), node, "held")
         for found in result.absent:
@@ -362,7 +362,7 @@
         )
 
     def _on_returned_packet(self, msg, addr):
-        self._placement.liveness.heard(msg.node)
+        self._record_sign_of_life(msg.node)
         self._metrics.count(f"balancer.returned.{msg.reason}")
         forwarded = msg.forwarded
         packet = self._packets.read_caller(forwarded.payload)
@@ -385,13 +385,17 @@
             if due:
                 self._continue_search(packet.flow)
 
+    def _record_sign_of_life(self, node):
+        self._placement.liveness.heard(node)
+        self._directory.record_sign_of_life(node, self._now())
+
     def _record_refusal(self, flow, node):
         member = self._directory.find(node)
         target = "" if member is None else member.target
         return self._searches.record_refusal(flow, node, target)
 
     def _on_flow_unknown(self, msg, addr):
-        self._placement.liveness.heard(msg.node)
+        self._record_sign_of_life(msg.node)
         flow = Flow(msg.caller, msg.front)
         if msg.certain:
             due = self._record_refusal(flow, msg.node)
@@ -401,7 +405,7 @@
             self._continue_search(flow)
 
     def _on_flow_location(self, msg, addr):
-        self._placement.liveness.heard(msg.node)
+        self._record_sign_of_life(msg.node)
         self._finish_search(Flow(msg.caller, msg.front), msg.node, "located")
 
     def _use_presumed_holder(self, flow, node, search):
--- a/src/ryesaddle/daemons/passthrough/entry.py
+++ b/src/ryesaddle/daemons/passthrough/entry.py
@@ -86,6 +86,14 @@
         delay_s = self._rng.uniform(0, RENEWAL_SPREAD_S)
         asyncio.get_running_loop().call_later(delay_s, self._changed.set)
 
+    def verify(self):
+        """Check the entry now, since another process may have deleted it."""
+        if not self._has_desired:
+            return
+        self.forget_stored()
+        self.in_sync.clear()
+        self._changed.set()
+
     def set_desired(self, entry):
         """Set the desired content: a struct, or None to delete the entry."""
         # In the form that the store returns, since JSON has no tuples.
--- a/src/ryesaddle/daemons/passthrough/peers.py
+++ b/src/ryesaddle/daemons/passthrough/peers.py
@@ -17,6 +17,7 @@
 from ryesaddle.internal.membership.directory import TargetEntry
 from ryesaddle.internal.membership.fetch_schedule import FetchResult, FetchSchedule
 from ryesaddle.internal.membership.isolation import is_isolated
+from ryesaddle.internal.membership.lost_contacts import LostContacts
 from ryesaddle.internal.membership.transfer_slots import TransferSlots
 from ryesaddle.internal.routing.route import RouteTable
 from ryesaddle.internal.routing.route_history import RouteChange
@@ -128,6 +129,8 @@
         Entry of this balancer.
     leaving : bool
         Whether this balancer is about to stop.
+    on_return : callable
+        Called with the name of a balancer that was silent and is heard again.
     """
 
     def __init__(
@@ -150,6 +153,8 @@
         self._eras = eras
         self._peers = {}
         self._last_heard = {}
+        self._incarnations = {}
+        self._lost = LostContacts()
         self._live_agent_counts = {}
         self._was_isolated = False
         self._fetch_schedule = FetchSchedule(bound_s)
@@ -157,6 +162,7 @@
         self._last_reply = None
         self._tasks = set()
         self.leaving = False
+        self.on_return = lambda node: None
         messages.on(Gossip, self._on_gossip)
 
     def add_entries(self, entries):
@@ -177,7 +183,7 @@
             await asyncio.sleep(GOSSIP_INTERVAL_S)
 
     def send_gossip(self):
-        """Send gossip to all peers now."""
+        """Send gossip to all peers now, and to lost ones that are due."""
         msg = Gossip(
             node=self.entry.node,
             data_centre=self.entry.data_centre,
@@ -192,7 +198,7 @@
             evacuation=self._evacuations.confirmed_state(),
             store_era=self._eras.era,
         )
-        self._messages.send_all(self._peers, msg)
+        self._messages.send_all((*self._peers, *self._lost.due(self._now())), msg)
 
     async def fetch_state(self, control, wants_entries=True):
         """Fetch and apply the state of another balancer; return the `FetchResult`."""
@@ -326,6 +332,7 @@
 
     def _add_peer(self, entry):
         event(log, "balancer-known", balancer=entry.node, address=entry.address)
+        self._lost.discard(entry.address)
         self._peers[entry.address] = entry
         self._last_heard[entry.address] = self._now()
 
@@ -334,8 +341,10 @@
         for address, at in list(self._last_heard.items()):
             if now - at > PEER_EXPIRY_S:
                 del self._last_heard[address]
+                self._incarnations.pop(address, None)
                 self._live_agent_counts.pop(address, None)
                 entry = self._peers.pop(address)
+                self._lost.add(address, now)
                 self._fetch_schedule.forget(entry.node)
                 event(log, "balancer-forgotten", balancer=entry.node, address=address)
 
@@ -350,6 +359,12 @@
                     control=msg.control,
                 )
             )
+        elif (
+            self._incarnations.get(msg.address) == msg.incarnation
+            and now - self._last_heard[msg.address] > SILENCE_TIMEOUT_S
+        ):
+            self.on_return(msg.node)
+        self._incarnations[msg.address] = msg.incarnation
         self._last_heard[msg.address] = now
         self._live_agent_counts[msg.address] = msg.live_agent_count
         self._evacuations.merge(msg.evacuation, f"balancer {msg.node}")
--- a/src/ryesaddle/daemons/passthrough/run_agent.py
+++ b/src/ryesaddle/daemons/passthrough/run_agent.py
@@ -40,7 +40,9 @@
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.admission.health import describe_health
 from ryesaddle.internal.log import event, set_up_logging, warn
+from ryesaddle.internal.membership.contact import ContactMonitor
 from ryesaddle.internal.membership.directory import TargetEntry
+from ryesaddle.internal.membership.stale_entries import STALE_AFTER_S
 from ryesaddle.internal.metrics import Metrics
 from ryesaddle.internal.store.client import StoreClient
 from ryesaddle.internal.target.flows import TargetFlows
@@ -56,6 +58,8 @@
 SEED_DELAY_S = 0.05  # ten times the store's usual response time
 # Half of the time within which entries must be written after a store outage.
 RELIST_INTERVAL_S = 1.0
+# A quarter of the time after which the entry of a silent process may be deleted.
+MAX_CONTACT_GAP_S = STALE_AFTER_S / 4
 # A caller repeats a lost packet after 0.2 s. Without packets for longer, no answer is
 # on its way, and no request on a flow that has just been accepted.
 IDLE_BEFORE_STOP_S = 0.3
@@ -136,12 +140,22 @@
         metrics,
     )
     heartbeat_handler.on_target_started = agent.verify_flows
-    new_era = asyncio.Event()
+    in_doubt = asyncio.Event()
+    contact = ContactMonitor(MAX_CONTACT_GAP_S)
+
+    def on_contact():
+        gap_s = contact.record(loop.time())
+        if gap_s is not None:
+            event(log, "contact-regained", gap_s=round(gap_s, 2))
+            reconciler.verify()
+            in_doubt.set()
+
+    messages.on_contact = on_contact
 
     def on_new_era(former, era):
         event(log, "store-era", era=era, before=former)
         reconciler.renew()
-        new_era.set()
+        in_doubt.set()
 
     store.eras.subscribe(on_new_era)
 
@@ -205,7 +219,7 @@
     if settings.target_listens:
         tasks.start(agent.watch_target_process)
     tasks.start(reconciler.run)
-    tasks.start(_keep_complete, store, reporter, reconciler, loading, new_era)
+    tasks.start(_keep_complete, store, reporter, reconciler, loading, in_doubt)
     await stop.wait()
     event(log, "stopping", node=settings.node, flows=len(flows))
     router.draining = True
@@ -282,12 +296,13 @@
     reporter.mark_entry_read()
 
 
-async def _keep_complete(store, reporter, reconciler, loading, new_era):
+async def _keep_complete(store, reporter, reconciler, loading, in_doubt):
     """List the balancers again after this process has written its own entry.
 
     A balancer that was registered after the first list is either in the second one or
     finds this agent's entry in its own list. In a new era of the store, all processes
-    register again.
+    register again. So does an agent that was out of contact, since its entry may have
+    been deleted and balancers may have joined.
     """
     loaded = await loading
     while True:
@@ -297,8 +312,8 @@
             if loaded:
                 break
             await asyncio.sleep(RELIST_INTERVAL_S)
-        await new_era.wait()
-        new_era.clear()
+        await in_doubt.wait()
+        in_doubt.clear()
         loaded = False
 
 
--- a/src/ryesaddle/daemons/passthrough/run_balancer.py
+++ b/src/ryesaddle/daemons/passthrough/run_balancer.py
@@ -28,8 +28,10 @@
 from ryesaddle.daemons.passthrough.sockets import MessageSocket, PacketSocket
 from ryesaddle.errors import StoreError
 from ryesaddle.internal.log import event, set_up_logging, warn
+from ryesaddle.internal.membership.contact import ContactMonitor
 from ryesaddle.internal.membership.directory import AgentDirectory, TargetEntry
 from ryesaddle.internal.membership.fetch_schedule import FetchResult
+from ryesaddle.internal.membership.readiness_gate import ACK_TIMEOUT_S
 from ryesaddle.internal.metrics import Metrics
 from ryesaddle.internal.routing.placement import Placement
 from ryesaddle.internal.store.client import StoreClient
@@ -44,6 +46,9 @@
 DRAIN_POLL_S = 0.1
 # Half of the time within which entries must be written after a store outage.
 RELIST_INTERVAL_S = 1.0
+RECHECK_INTERVAL_S = 0.25  # while one process after the other comes back
+# An agent that joins takes flows after that time though a balancer does not answer.
+MAX_CONTACT_GAP_S = ACK_TIMEOUT_S
 
 
 async def run_balancer(
@@ -132,13 +137,32 @@
     reconciler = EntryReconciler(
         store, BALANCER_KIND, settings.node, rng, kept_fields=("settled_era",)
     )
-    new_era = asyncio.Event()
+    in_doubt = asyncio.Event()
+    contact = ContactMonitor(MAX_CONTACT_GAP_S)
+
+    def doubt_agents(reason, **details):
+        """Conclude nothing from the list of agents until it has been read again."""
+        if directory.complete:
+            event(log, "agents-in-doubt", reason=reason, **details)
+            metrics.count(f"balancer.agents_in_doubt.{reason}")
+            reconciler.verify()
+        directory.complete = False
+        in_doubt.set()
+
+    def on_contact():
+        gap_s = contact.record(loop.time())
+        if gap_s is not None:
+            doubt_agents("no-contact", gap_s=round(gap_s, 2))
+
+    messages.on_contact = on_contact
+    directory.on_return = lambda node: doubt_agents("agent-returned", agent=node)
+    peers.on_return = lambda node: doubt_agents("balancer-returned", balancer=node)
 
     def on_new_era(former, era):
         event(log, "store-era", era=era, before=former)
         directory.complete = False
         reconciler.renew()
-        new_era.set()
+        in_doubt.set()
         peers.send_gossip()
         agent_monitor.announce_era()
 
@@ -209,7 +233,7 @@
         directory,
         reconciler,
         loading,
-        new_era,
+        in_doubt,
     )
     await stop.wait()
     event(log, "stopping", node=settings.node)
@@ -241,9 +265,12 @@
 
 
 async def _keep_complete(
-    store, agent_monitor, peers, directory, reconciler, loading, new_era
+    store, agent_monitor, peers, directory, reconciler, loading, in_doubt
 ):
-    """Complete the directory after the start, and in each new era of the store.
+    """Complete the directory after the start, and whenever it is in doubt.
+
+    It is in doubt in a new era of the store, and after a cut or a standstill: an agent
+    that joined meanwhile may not be known, and this balancer's entry may be missing.
 
     The entries are listed again if this process has written its own entry: a process
     that was registered after the first list is either in the second one or finds this
@@ -253,7 +280,7 @@
     loop = asyncio.get_running_loop()
     loaded = await loading
     while True:
-        new_era.clear()
+        in_doubt.clear()
         await reconciler.in_sync.wait()
         settle_delay_s = store.eras.settle_delay_s(loop.time())
         if settle_delay_s:
@@ -265,13 +292,15 @@
             if loaded:
                 break
             await asyncio.sleep(RELIST_INTERVAL_S)
-        if not new_era.is_set():
+        if not in_doubt.is_set():
             directory.complete = True
             event(log, "agents-complete", agents=len(directory), era=store.era)
             if store.era:
                 entry = msgspec.structs.replace(peers.entry, settled_era=store.era)
                 reconciler.set_desired(entry)
-            await new_era.wait()
+            await in_doubt.wait()
+        else:
+            await asyncio.sleep(RECHECK_INTERVAL_S)
         loaded = False
 
 
--- a/src/ryesaddle/daemons/passthrough/sockets.py
+++ b/src/ryesaddle/daemons/passthrough/sockets.py
@@ -22,6 +22,11 @@
         A bound, non-blocking socket.
     metrics : Metrics
         Counts lost and dropped datagrams.
+
+    Attributes
+    ----------
+    on_contact : callable
+        Called before each message is handled.
     """
 
     def __init__(self, sock, metrics):
@@ -30,6 +35,7 @@
         self._transport = None
         self._handlers = {}
         self._next_log = 0.0
+        self.on_contact = lambda: None
 
     async def listen(self):
         """Start to receive messages, including those already in the socket buffer."""
@@ -76,6 +82,7 @@
             self._metrics.count("peer.dropped")
             self._log_dropped(addr, exc)
             return
+        self.on_contact()
         handler = self._handlers.get(type(msg))
         if handler is None:
             self._metrics.count("peer.unhandled")
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -114,10 +114,14 @@
     ----------
     complete : bool
         Whether every registered agent is known or will report on its own.
+    on_return : callable
+        Called with the name of an agent that was silent and is heard again. An agent
+        that joined behind the same cut may not be known.
     """
 
     def __init__(self):
         self.complete = False
+        self.on_return = lambda node: None
         self._agents = {}
         self._departed = OrderedDict()
         self._views = {}
@@ -170,6 +174,8 @@
         held = self._agents.get(report.node)
         if self._is_outdated(report, held, now):
             return None
+        if held is not None and held.incarnation == report.incarnation:
+            self.record_sign_of_life(report.node, now)
         if report.gone:
             self._departed[report.node] = (report.incarnation, now)
             if len(self._departed) > MAX_DEPARTED_AGENTS:
@@ -331,6 +337,10 @@
         """Return the names of the agents that are alive."""
         return {node for node in self._agents if self.is_alive(node, now)}
 
+    def silent_agents(self, now):
+        """Return the names of the agents that do not report at present."""
+        return self._agents.keys() - self.live_agents(now)
+
     def is_alive(self, node, now):
         """Whether an agent has reported within the last `LIVENESS_INTERVALS`."""
         agent = self._agents.get(node)
@@ -338,6 +348,14 @@
             return False
         return now - agent.last_report_at <= LIVENESS_INTERVALS * agent.interval_s
 
+    def record_sign_of_life(self, node, now):
+        """Record that an agent was heard, in a report or otherwise."""
+        agent = self._agents.get(node)
+        if agent is None or agent.last_report_at is None:
+            return
+        if not self.is_alive(node, now):
+            self.on_return(node)
+
     def remove_expired(self, now):
         """Remove and return the agents without a report for `AGENT_EXPIRY_S`."""
         expired = [
--- a/src/ryesaddle/internal/membership/report_schedule.py
+++ b/src/ryesaddle/internal/membership/report_schedule.py
@@ -3,6 +3,10 @@
 import msgspec
 
 from ryesaddle.internal.address import Address
+from ryesaddle.internal.membership.lost_contacts import (
+    RETRY_INTERVAL_S,
+    LostContacts,
+)
 
 REPORT_INTERVAL_S = 0.2  # a third of the time after which a balancer suspects an agent
 MAX_REPORT_INTERVAL_S = 3.2  # about a fifth of `BALANCER_EXPIRY_S`
@@ -59,10 +63,14 @@
 
 
 class ReportSchedule:
-    """Report schedule of an agent: each balancer at the interval it requested."""
+    """Report schedule of an agent: each balancer at the interval it requested.
+
+    A balancer that was removed because it was silent still gets a report now and then.
+    """
 
     def __init__(self):
         self._balancers = {}
+        self._lost = LostContacts()
 
     def __len__(self):
         return len(self._balancers)
@@ -77,6 +85,7 @@
         """Record a sign of life of a balancer; return whether it is new."""
         state = self._balancers.get(address)
         if state is None:
+            self._lost.discard(address)
             self._balancers[address] = _BalancerState(now)
             return True
         state.last_seen_at = now
@@ -117,6 +126,8 @@
                 state.next_ack_at = now + ACK_INTERVAL_S
             options = ReportOptions(state.interval_s, wants_ack)
             reports.setdefault(options, []).append(address)
+        if lost := self._lost.due(now):
+            reports.setdefault(ReportOptions(RETRY_INTERVAL_S, True), []).extend(lost)
         return reports
 
     def remove_expired(self, now):
@@ -128,4 +139,5 @@
         ]
         for address in expired:
             del self._balancers[address]
+            self._lost.add(address, now)
         return expired
--- a/tests/routing/test_passthrough.py
+++ b/tests/routing/test_passthrough.py
@@ -554,6 +554,50 @@
         self.assertTrue(world.agents[1][0]._router.known_to_balancers)
 
 
+class ReturningAgentTest(unittest.TestCase):
+    """Guards against resets of flows of an agent that joined behind the same cut."""
+
+    def lose_flow(self, world):
+        """Open a flow whose target then loses it; return it."""
+        world.send(1, caller(1), SYN)
+        flow = Flow(caller(1), FRONT)
+        world.target_of(flow).flows.discard(flow)
+        return flow
+
+    def watch(self, world):
+        """Put the list of agents in doubt if one returns; return the names of those."""
+        directory, returned = world.balancers[1]._directory, []
+
+        def on_return(node):
+            returned.append(node)
+            directory.complete = False
+
+        directory.on_return = on_return
+        return returned
+
+    def test_no_flow_is_reset_once_an_agent_is_heard_that_was_silent(self):
+        world = started(1, 2)
+        flow = self.lose_flow(world)
+        returned = self.watch(world)
+        # No report has arrived for longer than an agent waits for a balancer.
+        world.now += 5.0
+        self.assertEqual(world.send(1, flow.caller), ([], []))
+        self.assertEqual(set(returned), {"side-1", "side-2"})
+
+    def test_reports_without_a_gap_and_restarts_put_nothing_in_doubt(self):
+        world = started(1, 2)
+        flow = self.lose_flow(world)
+        returned = self.watch(world)
+        for _ in range(10):
+            world.now += 0.2
+            for number in world.agents:
+                world.report(number)
+        world.start_agent(1, SERVICE, world.agents[1][1])
+        world.report(1)
+        self.assertEqual(returned, [])
+        self.assertEqual(world.send(1, flow.caller), ([], [flow]))
+
+
 class ReporterTest(unittest.TestCase):
     def test_agents_report_only_to_the_balancer_that_starts(self):
         # If agents reported to every balancer whenever one starts, a simultaneous
