Keep the entries of processes that another balancer hears

Cause: the responsible balancer deleted the entry of an agent that it did not hear, though others did, after a single lost request for reports or a cut between the two machines. Balancers that joined later took two lists of the store for all agents.

Change: before entries are deleted, all live balancers are asked which processes they hear. Silent agents are forgotten only when the store lacks them. A balancer learns agents that the store lacks from the others before its list counts as complete. Balancers whose entry is missing are asked to write it.

--- a/src/ryesaddle/daemons/passthrough/agent_monitor.py
+++ b/src/ryesaddle/daemons/passthrough/agent_monitor.py
@@ -71,7 +71,12 @@
         return self._directory.complete
 
     def entries(self):
-        """Return the known agents as `TargetEntry` items."""
+        """Return the known agents as `TargetEntry` items.
+
+        Agents that have been silent for long are left out. Another balancer may have
+        removed them already.
+        """
+        expired = {m.node for m in self._directory.expired(self._now())}
         return tuple(
             TargetEntry(
                 node=m.node,
@@ -82,6 +87,7 @@
                 draining=m.draining,
             )
             for m in self._directory.members()
+            if m.node not in expired
         )
 
     def add_entries(self, entries):
@@ -100,9 +106,21 @@
         """Return the names of the agents that have reported recently."""
         return self._directory.live_agents(self._now())
 
-    def remove_expired(self):
-        """Remove agents that have not reported for a long time."""
-        for member in self._directory.remove_expired(self._now()):
+    def has_expired(self):
+        """Whether an agent has not reported for a long time."""
+        return bool(self._directory.expired(self._now()))
+
+    def remove_expired(self, registered):
+        """Remove agents that have not reported for a long time and are not registered.
+
+        A registered one may be out of reach of this balancer only.
+
+        Parameters
+        ----------
+        registered : container of str
+            Names of the agents in the store.
+        """
+        for member in self._directory.remove_expired(self._now(), registered):
             event(
                 log,
                 "agent",
--- a/src/ryesaddle/daemons/passthrough/entry_cleaner.py
+++ b/src/ryesaddle/daemons/passthrough/entry_cleaner.py
@@ -44,32 +44,63 @@
         """Clean up at regular intervals until cancelled."""
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
-            self._agent_monitor.remove_expired()
-            if not self._detectors[TARGET_KIND].is_responsible(
-                self._peers.live_names()
-            ):
-                continue
-            # A list of a store that has just gone back lacks entries that are being
-            # written again, and holds others that were deleted.
-            now = asyncio.get_running_loop().time()
-            if self._store.eras.settle_delay_s(now):
-                continue
             try:
-                live = {self._node, *self._peers.live_names()}
-                await self._delete_stale(BALANCER_KIND, BalancerEntry, live)
-                live = self._agent_monitor.live_names()
-                listed = await self._delete_stale(TARGET_KIND, TargetEntry, live)
-                self._agent_monitor.request_registration(live - listed.keys())
+                await self.clean_up()
             except StoreError as exc:
                 warn(log, "not-cleaned", reason=exc)
 
+    async def clean_up(self):
+        """Clean up once.
+
+        Raises
+        ------
+        StoreError
+            If the store does not answer, or an entry was changed meanwhile.
+        """
+        is_responsible = self._detectors[TARGET_KIND].is_responsible(
+            self._peers.live_names()
+        )
+        if not is_responsible and not self._agent_monitor.has_expired():
+            return
+        # A list of a store that has just gone back lacks entries that are being
+        # written again, and holds others that were deleted.
+        if self._store.eras.settle_delay_s(self._now()):
+            return
+        if is_responsible:
+            live = {self._node, *self._peers.live_names()}
+            listed = await self._delete_stale(BALANCER_KIND, BalancerEntry, live)
+            self._peers.request_registration(live - listed.keys() - {self._node})
+            live = self._agent_monitor.live_names()
+            listed = await self._delete_stale(TARGET_KIND, TargetEntry, live)
+            self._agent_monitor.request_registration(live - listed.keys())
+        else:
+            listed = await self._list(TARGET_KIND, TargetEntry)
+        self._agent_monitor.remove_expired(listed)
+
+    async def _list(self, kind, struct):
+        return await list_entries(self._store, kind, struct, stale=True)
+
     async def _delete_stale(self, kind, struct, live):
-        listed = await list_entries(self._store, kind, struct, stale=True)
-        now = asyncio.get_running_loop().time()
-        for name in self._detectors[kind].find_stale(listed, live, now):
+        """Delete the entries of stopped processes; return all that were listed."""
+        listed = await self._list(kind, struct)
+        stale = self._detectors[kind].find_stale(listed, live, self._now())
+        if not stale:
+            return listed
+        heard = await self._peers.names_heard_by_others()
+        if heard is None:
+            event(log, "cleanup-postponed", kind=kind, entries=len(stale))
+            return listed
+        for name in stale:
+            if name in heard:
+                event(log, "entry-kept", kind=kind, name=name, reason="heard-elsewhere")
+                continue
             stored = await self._store.get(kind, name, attempts=1)
             if stored is not None:
                 version = stored.metadata.resource_version
                 await self._store.delete(kind, name, version)
                 event(log, "entry-removed", kind=kind, name=name, reason="gone")
         return listed
+
+    @staticmethod
+    def _now():
+        return asyncio.get_running_loop().time()
--- a/src/ryesaddle/daemons/passthrough/peers.py
+++ b/src/ryesaddle/daemons/passthrough/peers.py
@@ -21,7 +21,7 @@
 from ryesaddle.internal.membership.transfer_slots import TransferSlots
 from ryesaddle.internal.routing.route import RouteTable
 from ryesaddle.internal.routing.route_history import RouteChange
-from ryesaddle.internal.wire.passthrough import Gossip
+from ryesaddle.internal.wire.passthrough import Gossip, ReportRequest
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +31,9 @@
 FETCH_TIMEOUT_S = 1.0  # a peer answers within milliseconds
 # A transfer over a slow link goes on while bytes arrive, for this time at most.
 TRANSFER_TIMEOUT_S = 5.0
+# A live peer answers new gossip at once, and one of an older version in the next round.
+MERGE_TIMEOUT_S = 1.2 * GOSSIP_INTERVAL_S
+MERGE_POLL_S = 0.01
 STATE_PATH = "/state"
 
 
@@ -71,12 +74,16 @@
         Whether the configuration is asked for.
     wants_entries : bool
         Whether the entries of balancers and agents are asked for.
+    wants_heard : bool
+        Whether only the names of the processes are asked for from which messages have
+        arrived. Older versions do not know it, and answer by the other fields.
     """
 
     version: int = 0
     change_from: int = 0
     wants_routes: bool = True
     wants_entries: bool = True
+    wants_heard: bool = False
 
 
 class SharedState(msgspec.Struct, frozen=True):
@@ -92,6 +99,8 @@
         The evacuated data centres, if they are known.
     change : RouteChange or None
         Change from the version that the requester named.
+    heard : tuple of str or None
+        Names of the processes from which messages have arrived lately, if asked for.
     """
 
     routes: RouteTable | None
@@ -99,6 +108,17 @@
     targets: tuple[TargetEntry, ...] = ()
     evacuation: EvacuationState | None = None
     change: RouteChange | None = None
+    heard: tuple[str, ...] | None = None
+
+    def names_heard(self):
+        """Return the names of the processes that the sender may have heard lately.
+
+        An older version sends its entries instead. It removes those of silent
+        processes after a while.
+        """
+        if self.heard is not None:
+            return set(self.heard)
+        return {entry.node for entry in (*self.balancers, *self.targets)}
 
 
 class Peers:
@@ -156,6 +176,7 @@
         self._incarnations = {}
         self._lost = LostContacts()
         self._live_agent_counts = {}
+        self._agent_digests = {}
         self._was_isolated = False
         self._fetch_schedule = FetchSchedule(bound_s)
         self._transfer_slots = TransferSlots(FETCH_TIMEOUT_S)
@@ -182,8 +203,10 @@
             self._remove_expired()
             await asyncio.sleep(GOSSIP_INTERVAL_S)
 
-    def send_gossip(self):
-        """Send gossip to all peers now, and to lost ones that are due."""
+    def send_gossip(self, addresses=None):
+        """Send gossip to these addresses, or to all peers, and to lost ones if due."""
+        if addresses is None:
+            addresses = (*self._peers, *self._lost.due(self._now()))
         msg = Gossip(
             node=self.entry.node,
             data_centre=self.entry.data_centre,
@@ -198,7 +221,7 @@
             evacuation=self._evacuations.confirmed_state(),
             store_era=self._eras.era,
         )
-        self._messages.send_all((*self._peers, *self._lost.due(self._now())), msg)
+        self._messages.send_all(addresses, msg)
 
     async def fetch_state(self, control, wants_entries=True):
         """Fetch and apply the state of another balancer; return the `FetchResult`."""
@@ -225,6 +248,62 @@
         self._agent_monitor.add_entries(state.targets)
         return FetchResult.ARRIVED
 
+    async def merge_agents(self):
+        """Fetch the agents that live peers know and this balancer does not.
+
+        The store lacks the entry of an agent that cannot reach it, and that of one
+        which was deleted by mistake.
+
+        Returns
+        -------
+        bool
+            False if a peer with other agents could not be asked.
+        """
+        end = self._now() + MERGE_TIMEOUT_S
+        while self._now() < end and self._peers.keys() - self._agent_digests.keys():
+            await asyncio.sleep(MERGE_POLL_S)
+        if self._tasks:
+            # Gossip that names other agents has started a fetch.
+            await asyncio.wait(self._tasks)
+        fetched = set()
+        for address, entry in list(self._peers.items()):
+            digest = self._agent_digests.get(address)
+            if digest in (None, self._agent_monitor.digest(), *fetched):
+                continue
+            if not self._is_live(address):
+                continue
+            if await self.fetch_state(entry.control) is not FetchResult.ARRIVED:
+                return False
+            fetched.add(digest)
+        return True
+
+    async def names_heard_by_others(self):
+        """Return the names of the processes that live peers hear.
+
+        Returns
+        -------
+        set of str or None
+            None if a live peer has not answered, so that nothing is known of the rest.
+        """
+        req = StateRequest(
+            version=self._route_updater.version, wants_routes=False, wants_heard=True
+        )
+        live = [
+            entry for address, entry in self._peers.items() if self._is_live(address)
+        ]
+        answers = await asyncio.gather(
+            *(self._request_state(entry.control, req) for entry in live)
+        )
+        if any(state is None for state, _ in answers):
+            return None
+        return set().union(*(state.names_heard() for state, _ in answers))
+
+    def request_registration(self, nodes):
+        """Ask balancers to write their missing entries to the store."""
+        request = ReportRequest(self.entry.node, self.entry.address, register=True)
+        addresses = [a for a, entry in self._peers.items() if entry.node in nodes]
+        self._messages.send_all(addresses, request)
+
     async def _request_state(self, control, req):
         """Return the `SharedState` of another balancer or None, and a `FetchResult`."""
         body = msgspec.json.encode(req)
@@ -280,6 +359,10 @@
         return self._last_reply[1]
 
     def _state(self, req):
+        if req.wants_heard:
+            heard = {self.entry.node, *self.live_names()}
+            heard |= self._agent_monitor.live_names()
+            return SharedState(None, heard=tuple(sorted(heard)))
         routes = self._route_updater.routes if req.wants_routes else None
         change = None
         if routes is not None:
@@ -301,22 +384,20 @@
 
     def live_names(self):
         """Return the names of the peers that have sent gossip recently."""
-        now = self._now()
         return [
             entry.node
             for address, entry in self._peers.items()
-            if now - self._last_heard[address] <= SILENCE_TIMEOUT_S
+            if self._is_live(address)
         ]
 
     def is_ready(self):
         """Return whether this balancer should receive new flows."""
         if self.leaving or self._route_updater.routes is None:
             return False
-        now = self._now()
         peer_counts = [
             heard
             for address, heard in self._live_agent_counts.items()
-            if now - self._last_heard[address] <= SILENCE_TIMEOUT_S
+            if self._is_live(address)
         ]
         heard, known = (
             len(self._agent_monitor.live_names()),
@@ -330,6 +411,10 @@
             event(log, name, heard=heard, known=known, heard_by_others=most)
         return not isolated
 
+    def _is_live(self, address):
+        """Whether a peer has sent gossip recently, or has just been added."""
+        return self._now() - self._last_heard[address] <= SILENCE_TIMEOUT_S
+
     def _add_peer(self, entry):
         event(log, "balancer-known", balancer=entry.node, address=entry.address)
         self._lost.discard(entry.address)
@@ -343,6 +428,7 @@
                 del self._last_heard[address]
                 self._incarnations.pop(address, None)
                 self._live_agent_counts.pop(address, None)
+                self._agent_digests.pop(address, None)
                 entry = self._peers.pop(address)
                 self._lost.add(address, now)
                 self._fetch_schedule.forget(entry.node)
@@ -359,6 +445,8 @@
                     control=msg.control,
                 )
             )
+            # A balancer that starts waits for what the others know.
+            self.send_gossip((msg.address,))
         elif (
             self._incarnations.get(msg.address) == msg.incarnation
             and now - self._last_heard[msg.address] > SILENCE_TIMEOUT_S
@@ -367,6 +455,7 @@
         self._incarnations[msg.address] = msg.incarnation
         self._last_heard[msg.address] = now
         self._live_agent_counts[msg.address] = msg.live_agent_count
+        self._agent_digests[msg.address] = msg.agents_digest
         self._evacuations.merge(msg.evacuation, f"balancer {msg.node}")
         self._route_updater.record_peer_read(msg.node, msg.read_age_ms / 1000, now)
         self._eras.learn(msg.store_era, now)
--- a/src/ryesaddle/daemons/passthrough/run_balancer.py
+++ b/src/ryesaddle/daemons/passthrough/run_balancer.py
@@ -35,6 +35,7 @@
 from ryesaddle.internal.metrics import Metrics
 from ryesaddle.internal.routing.placement import Placement
 from ryesaddle.internal.store.client import StoreClient
+from ryesaddle.internal.wire.passthrough import ReportRequest
 
 log = logging.getLogger(__name__)
 
@@ -154,6 +155,13 @@
         if gap_s is not None:
             doubt_agents("no-contact", gap_s=round(gap_s, 2))
 
+    def on_report_request(request, addr):
+        # Agents are asked for reports; a balancer only for its missing entry.
+        if request.register:
+            event(log, "register-again", balancer=request.node)
+            reconciler.verify()
+
+    messages.on(ReportRequest, on_report_request)
     messages.on_contact = on_contact
     directory.on_return = lambda node: doubt_agents("agent-returned", agent=node)
     peers.on_return = lambda node: doubt_agents("balancer-returned", balancer=node)
@@ -274,7 +282,8 @@
 
     The entries are listed again if this process has written its own entry: a process
     that was registered after the first list is either in the second one or finds this
-    balancer's entry in its own list. In a new era, and if this process cannot tell
+    balancer's entry in its own list. The other balancers may know agents that the store
+    lacks. In a new era, and if this process cannot tell
     how old the era is, they are listed once the store is settled.
     """
     loop = asyncio.get_running_loop()
@@ -292,6 +301,10 @@
             if loaded:
                 break
             await asyncio.sleep(RELIST_INTERVAL_S)
+        if not await peers.merge_agents():
+            loaded = False
+            await asyncio.sleep(RECHECK_INTERVAL_S)
+            continue
         if not in_doubt.is_set():
             directory.complete = True
             event(log, "agents-complete", agents=len(directory), era=store.era)
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -356,16 +356,20 @@
         if not self.is_alive(node, now):
             self.on_return(node)
 
-    def remove_expired(self, now):
-        """Remove and return the agents without a report for `AGENT_EXPIRY_S`."""
-        expired = [
+    def expired(self, now):
+        """Return the agents without a report for `AGENT_EXPIRY_S` as `Member` items."""
+        return [
             agent.member
             for agent in self._agents.values()
             if now - agent.updated_at > AGENT_EXPIRY_S
         ]
-        for member in expired:
+
+    def remove_expired(self, now, registered=()):
+        """Remove and return the `expired` agents that are not ``registered``."""
+        gone = [m for m in self.expired(now) if m.node not in registered]
+        for member in gone:
             self.remove(member.node)
-        return expired
+        return gone
 
     def _service_medians(self, service, now):
         medians = self._medians.get(service)
--- a/tests/daemons/test_peers.py
+++ b/tests/daemons/test_peers.py
@@ -1,5 +1,6 @@
 """What a balancer sends of its state, and what it makes of another one's."""
 
+import asyncio
 import unittest
 from unittest.mock import patch
 
@@ -8,24 +9,34 @@
 from ryesaddle.daemons.passthrough import peers as peers_module
 from ryesaddle.daemons.passthrough.agent_monitor import AgentMonitor
 from ryesaddle.daemons.passthrough.evacuation import EvacuationMonitor
-from ryesaddle.daemons.passthrough.http import HttpReply, inflated
-from ryesaddle.daemons.passthrough.peers import BalancerEntry, Peers, SharedState
+from ryesaddle.daemons.passthrough.http import HttpError, HttpReply, inflated
+from ryesaddle.daemons.passthrough.peers import (
+    MERGE_TIMEOUT_S,
+    BalancerEntry,
+    Peers,
+    SharedState,
+)
 from ryesaddle.daemons.passthrough.route_updater import RouteUpdater
 from ryesaddle.internal.address import Address
-from ryesaddle.internal.membership.directory import AgentDirectory
+from ryesaddle.internal.membership.directory import AgentDirectory, TargetEntry
 from ryesaddle.internal.membership.fetch_schedule import FetchResult
 from ryesaddle.internal.membership.transfer_slots import MAX_TRANSFERS
 from ryesaddle.internal.routing.placement import Placement
 from ryesaddle.internal.store.era import EraTracker
+from ryesaddle.internal.wire.passthrough import Gossip
 from tests.support.passthrough import routes
 
 CONTROL = Address("10.0.0.1", 9000)
+SOURCE, AGENT = Address("10.0.0.1", 7000), Address("10.0.0.2", 7000)
 
 
 class FakeMessages:
     def on(self, kind, handler):
         pass
 
+    def send(self, address, msg):
+        pass
+
     def send_all(self, addresses, msg):
         pass
 
@@ -109,3 +120,79 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class MergeTest(unittest.IsolatedAsyncioTestCase):
+    """What a balancer learns of agents and of live processes from its peers."""
+
+    async def asyncSetUp(self):
+        _, self.source = build_peers("edge-1")
+        _, self.peers = build_peers("edge-2")
+        target = TargetEntry(
+            node="side-1", service="s", data_centre="bkk-a", address=AGENT
+        )
+        self.source._agent_monitor.add_entries([target])
+        self.peers.add_entries([self.source_entry()])
+        self.answers = True
+
+    def source_entry(self):
+        return msgspec.structs.replace(self.source.entry, address=SOURCE)
+
+    def hear_source(self):
+        self.peers._on_gossip(
+            Gossip(
+                "edge-1",
+                "bkk-a",
+                1,
+                SOURCE,
+                CONTROL,
+                version=0,
+                read_age_ms=0,
+                agents_digest=self.source._agent_monitor.digest(),
+            ),
+            SOURCE,
+        )
+
+    async def send(self, control, method, path, body, *timeouts, keeps_open):
+        if not self.answers:
+            raise HttpError("no answer", True)
+        reply = self.source.state_reply(body)
+        return HttpReply(200, inflated(reply.body))
+
+    async def test_agents_that_the_store_lacks_are_learned_from_a_peer(self):
+        """Guards against a list of the store that counts as complete by itself."""
+        with patch.object(peers_module, "send_request", self.send):
+            self.hear_source()
+            self.assertTrue(await self.peers.merge_agents())
+        self.assertEqual(self.peers._agent_monitor.count(), 1)
+
+    async def test_a_peer_that_does_not_answer_leaves_the_list_incomplete(self):
+        self.answers = False
+        with patch.object(peers_module, "send_request", self.send):
+            self.hear_source()
+            self.assertFalse(await self.peers.merge_agents())
+
+    async def test_a_peer_that_is_not_heard_is_not_waited_for(self):
+        with patch.object(peers_module, "send_request", self.send):
+            async with asyncio.timeout(10 * MERGE_TIMEOUT_S):
+                self.assertTrue(await self.peers.merge_agents())
+
+    async def test_the_names_of_live_processes_are_asked_for(self):
+        """Guards against the deletion of entries of processes that others hear."""
+        with patch.object(peers_module, "send_request", self.send):
+            heard = await self.peers.names_heard_by_others()
+            # The entry of an agent that has not reported is no sign of life.
+            self.assertEqual(heard, {"edge-1"})
+            self.answers = False
+            self.assertIsNone(await self.peers.names_heard_by_others())
+
+    async def test_the_entries_of_a_peer_of_an_older_version_count_as_heard(self):
+        async def send(*args, **options):
+            state = SharedState(None, (self.source_entry(),))
+            targets = self.source._agent_monitor.entries()
+            old = {"balancers": state.balancers, "targets": targets, "routes": None}
+            return HttpReply(200, msgspec.json.encode(old))
+
+        with patch.object(peers_module, "send_request", send):
+            heard = await self.peers.names_heard_by_others()
+        self.assertEqual(heard, {"edge-1", "side-1"})
