Skip entries without numeric addresses; send past unusable ones

Cause: the transport raises ValueError for an address that is no IP number. That ended each round of reports and of gossip at this address.

Change: such entries are skipped, also those that a balancer of an older version passes on, and a failure to send to one address is counted and does not concern the others.

--- a/src/ryesaddle/daemons/passthrough/entry.py
+++ b/src/ryesaddle/daemons/passthrough/entry.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ryesaddle.errors import StoreError
+from ryesaddle.errors import EntryError, StoreError
 from ryesaddle.internal.log import event, warn
 from ryesaddle.internal.store.pacing import Backoff
 
@@ -170,8 +170,48 @@
     objects, _ = await store.list(kind, stale, attempts=1)
     entries = {}
     for obj in objects:
+        name = obj.metadata.name
         try:
-            entries[obj.metadata.name] = msgspec.convert(obj.spec, struct)
-        except msgspec.ValidationError as exc:
-            warn(log, "entry-skipped", kind=kind, name=obj.metadata.name, reason=exc)
+            entry = msgspec.convert(obj.spec, struct)
+            check_entry(entry)
+        except (msgspec.ValidationError, EntryError) as exc:
+            warn(log, "entry-skipped", kind=kind, name=name, reason=exc)
+        else:
+            entries[name] = entry
     return entries
+
+
+def valid_entries(entries, source):
+    """Return the entries that pass `check_entry`; the others are logged.
+
+    An older version passes on what it found in the store.
+
+    Parameters
+    ----------
+    entries : iterable of BalancerEntry or TargetEntry
+        Entries that another process has sent.
+    source : Address
+        The process that has sent them.
+    """
+    valid = []
+    for entry in entries:
+        try:
+            check_entry(entry)
+        except EntryError as exc:
+            warn(log, "entry-skipped", name=entry.node, source=source, reason=exc)
+        else:
+            valid.append(entry)
+    return valid
+
+
+def check_entry(entry):
+    """Check what the types of an entry do not tell, as another may have written it.
+
+    Raises
+    ------
+    EntryError
+        If no message can be sent to an address of the entry.
+    """
+    for address in (entry.address, entry.control):
+        if address is not None and not address.is_numeric():
+            raise EntryError(f"{address} is no IP number and port; delete the entry.")
--- a/src/ryesaddle/daemons/passthrough/peers.py
+++ b/src/ryesaddle/daemons/passthrough/peers.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ryesaddle.daemons.passthrough.entry import valid_entries
 from ryesaddle.daemons.passthrough.http import (
     HttpError,
     HttpReply,
@@ -244,8 +245,8 @@
         self._evacuations.merge(state.evacuation, source)
         if state.routes is not None:
             self._route_updater.install(state.routes, source)
-        self.add_entries(state.balancers)
-        self._agent_monitor.add_entries(state.targets)
+        self.add_entries(valid_entries(state.balancers, control))
+        self._agent_monitor.add_entries(valid_entries(state.targets, control))
         return FetchResult.ARRIVED
 
     async def merge_agents(self):
--- a/src/ryesaddle/daemons/passthrough/run_agent.py
+++ b/src/ryesaddle/daemons/passthrough/run_agent.py
@@ -9,7 +9,11 @@
 
 from ryesaddle.daemons.passthrough.admin import Admin
 from ryesaddle.daemons.passthrough.agent import PassthroughAgent
-from ryesaddle.daemons.passthrough.entry import EntryReconciler, list_entries
+from ryesaddle.daemons.passthrough.entry import (
+    EntryReconciler,
+    list_entries,
+    valid_entries,
+)
 from ryesaddle.daemons.passthrough.heartbeat_handler import HeartbeatHandler
 from ryesaddle.daemons.passthrough.http import (
     HttpError,
@@ -267,7 +271,8 @@
         except (HttpError, msgspec.DecodeError) as exc:
             warn(log, "state-not-fetched", source=seed, reason=exc)
             continue
-        reporter.add_balancers([entry.address for entry in state.balancers])
+        balancers = valid_entries(state.balancers, seed)
+        reporter.add_balancers([entry.address for entry in balancers])
         return
 
 
--- a/src/ryesaddle/daemons/passthrough/sockets.py
+++ b/src/ryesaddle/daemons/passthrough/sockets.py
@@ -62,8 +62,9 @@
         for address in addresses:
             try:
                 sender.sendto(data, address)
-            except OSError:
+            except (OSError, ValueError, OverflowError):
                 # Datagrams may be lost on the way too, so a failure is only counted.
+                # An address that is no IP number must not stop those after it.
                 self._metrics.count("peer.send_failed")
 
     def connection_made(self, transport):
--- a/src/ryesaddle/errors.py
+++ b/src/ryesaddle/errors.py
@@ -31,6 +31,10 @@
     """A datagram between processes is malformed or fails authentication."""
 
 
+class EntryError(RyesaddleError):
+    """An entry in the store, which another may have written, cannot be used."""
+
+
 class StoreError(RyesaddleError):
     """Base class of the errors of the object API client."""
 
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -150,6 +150,23 @@
         found = await list_entries(self.client, KIND, TargetEntry)
         self.assertEqual(found, {"good": entry()})
 
+    async def test_entries_that_no_message_can_reach_are_skipped(self):
+        """Guards against an address at which every round of reports ends."""
+        for number, changes in enumerate(
+            (
+                {"address": ["localhost", 7720]},
+                {"address": ["10.0.0.1", 0]},
+                {"address": ["10.0.0.1", 2**16]},
+                {"address": ["10.0.0", 80]},
+                {"address": ["10.0.0.1\0", 80]},
+                {"control": ["localhost", 7721]},
+            )
+        ):
+            name = f"side-{number}"
+            content = {**msgspec.to_builtins(entry(name)), **changes}
+            self.store.put(KIND, name, {"annotations": {}, "content": content})
+        self.assertEqual(await list_entries(self.client, KIND, TargetEntry), {})
+
     async def test_entry_is_written_only_when_it_changes(self):
         reconciler = EntryReconciler(self.client, KIND, "side-1", random.Random(1))
         task = asyncio.ensure_future(reconciler.run())
