--- a/tests/support/platform_deployment.py
+++ b/tests/support/platform_deployment.py
@@ -27,7 +27,9 @@
 )
 
 ROOT = Path(__file__).resolve().parents[2]
-START_SCRIPT = ROOT / "src" / "ryesaddle" / "platform" / "start.py"
+SOURCES = ROOT / "src"
+SCRIPT_PATH = Path("ryesaddle", "platform", "start.py")  # in the folder of sources
+START_SCRIPT = SOURCES / SCRIPT_PATH
 SERVICE_ADDRESSES = {
     "case-desk": ("198.18.0.1", 443),
     "pack-archive": ("198.18.0.2", 443),
@@ -229,6 +231,8 @@
         ]
         self.caller = Caller(self.at("127.0.12.1", "callers"))
         self.processes = {}
+        # Source folders of hosts that run another version.
+        self.sources = {}
         self._tasks = []
 
     def at(self, host, port):
@@ -269,8 +273,14 @@
         file = self.folder / f"{host}.json"
         file.write_text(json.dumps(fields))
         role = "balancer" if host in self.balancer_hosts else "agent"
+        sources = self.sources.get(host, SOURCES)
         self._spawn(
-            host, str(START_SCRIPT), role, *first_bound, RYESADDLE_SETTINGS=str(file)
+            host,
+            str(sources / SCRIPT_PATH),
+            role,
+            *first_bound,
+            RYESADDLE_SETTINGS=str(file),
+            PYTHONPATH=str(sources),
         )
 
     def settings_of(self, host):
@@ -303,7 +313,7 @@
 
     def _spawn(self, name, *args, **env):
         log = (self.folder / f"{name}.log").open("ab")
-        env = {**os.environ, "PYTHONPATH": str(ROOT / "src"), **env}
+        env = {**os.environ, "PYTHONPATH": str(SOURCES), **env}
         self.processes[name] = subprocess.Popen(
             [sys.executable, *args], cwd=ROOT, env=env, stdout=log, stderr=log
         )
