Wait for new gossip after a doubt; doubt only silences of a second

Gossip from before a cut could count as the present list of a peer, so that a balancer in doubt did not fetch the agents that it lacks. An agent waits 1 s for a balancer, so a shorter silence hides no agent that joins. A test of merge_agents covers the gossip from before.

--- a/src/ryesaddle/daemons/passthrough/peers.py
+++ b/src/ryesaddle/daemons/passthrough/peers.py
@@ -249,11 +249,15 @@
         self._agent_monitor.add_entries(valid_entries(state.targets, control))
         return FetchResult.ARRIVED
 
+    def forget_digests(self):
+        """Let `merge_agents` wait for new gossip of each peer."""
+        self._agent_digests.clear()
+
     async def merge_agents(self):
         """Fetch the agents that live peers know and this balancer does not.
 
         The store lacks the entry of an agent that cannot reach it, and that of one
-        which was deleted by mistake.
+        which was deleted by mistake. Peers are waited for up to `MERGE_TIMEOUT_S`.
 
         Returns
         -------
@@ -289,11 +293,9 @@
         req = StateRequest(
             version=self._route_updater.version, wants_routes=False, wants_heard=True
         )
-        live = [
-            entry for address, entry in self._peers.items() if self._is_live(address)
-        ]
+        controls = [e.control for a, e in self._peers.items() if self._is_live(a)]
         answers = await asyncio.gather(
-            *(self._request_state(entry.control, req) for entry in live)
+            *(self._request_state(control, req) for control in controls)
         )
         if any(state is None for state, _ in answers):
             return None
--- a/src/ryesaddle/daemons/passthrough/run_balancer.py
+++ b/src/ryesaddle/daemons/passthrough/run_balancer.py
@@ -148,6 +148,7 @@
             metrics.count(f"balancer.agents_in_doubt.{reason}")
             reconciler.verify()
         directory.complete = False
+        peers.forget_digests()
         in_doubt.set()
 
     def on_contact():
@@ -283,8 +284,8 @@
     The entries are listed again if this process has written its own entry: a process
     that was registered after the first list is either in the second one or finds this
     balancer's entry in its own list. The other balancers may know agents that the store
-    lacks. In a new era, and if this process cannot tell
-    how old the era is, they are listed once the store is settled.
+    lacks. In a new era, and if this process cannot tell how old the era is, they are
+    listed once the store is settled.
     """
     loop = asyncio.get_running_loop()
     loaded = await loading
--- a/src/ryesaddle/internal/membership/directory.py
+++ b/src/ryesaddle/internal/membership/directory.py
@@ -8,6 +8,7 @@
 
 from ryesaddle.internal.address import Address
 from ryesaddle.internal.median import upper_median
+from ryesaddle.internal.membership.readiness_gate import ACK_TIMEOUT_S
 from ryesaddle.internal.membership.report_schedule import (
     ACK_INTERVAL_S,
     REPORT_INTERVAL_S,
@@ -353,7 +354,9 @@
         agent = self._agents.get(node)
         if agent is None or agent.last_report_at is None:
             return
-        if not self.is_alive(node, now):
+        # An agent that joins waits that long for a balancer that does not answer.
+        max_silence_s = max(ACK_TIMEOUT_S, LIVENESS_INTERVALS * agent.interval_s)
+        if now - agent.last_report_at > max_silence_s:
             self.on_return(node)
 
     def expired(self, now):
--- a/tests/daemons/test_peers.py
+++ b/tests/daemons/test_peers.py
@@ -166,6 +166,17 @@
             self.assertTrue(await self.peers.merge_agents())
         self.assertEqual(self.peers._agent_monitor.count(), 1)
 
+    async def test_gossip_from_before_a_cut_does_not_count(self):
+        with patch.object(peers_module, "send_request", self.send):
+            self.hear_source()
+            self.peers.forget_digests()
+            merging = asyncio.ensure_future(self.peers.merge_agents())
+            await asyncio.sleep(MERGE_TIMEOUT_S / 3)
+            self.assertFalse(merging.done())
+            self.hear_source()
+            self.assertTrue(await merging)
+        self.assertEqual(self.peers._agent_monitor.count(), 1)
+
     async def test_a_peer_that_does_not_answer_leaves_the_list_incomplete(self):
         self.answers = False
         with patch.object(peers_module, "send_request", self.send):
