--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -80,13 +80,16 @@
 
     def isolate(self, host, is_cut):
         """Cut a host off from all other hosts and from the store, or end this."""
-        others = {*self.balancer_hosts, *self.agent_hosts, STORE_NAME} - {host}
-        for other in others:
-            self.network.cut(host, other, is_cut)
-            self.network.cut(other, host, is_cut)
+        for other in {*self.balancer_hosts, *self.agent_hosts, STORE_NAME} - {host}:
+            self.cut_link(host, other, is_cut)
         if is_cut:
             self.store_proxies[host].reset()
 
+    def cut_link(self, host, other, is_cut):
+        """Cut the link between two hosts in both directions, or end this."""
+        self.network.cut(host, other, is_cut)
+        self.network.cut(other, host, is_cut)
+
     def settings_of(self, host):
         """Return the settings of a process, and the addresses it binds first."""
         fields, *first_bound = super().settings_of(host)
--- a/tests/processes/test_membership.py
+++ b/tests/processes/test_membership.py
@@ -43,6 +43,11 @@
         found = await self.deployment.status(host)
         return found is not None and found["complete"]
 
+    async def all_are_complete(self):
+        """Wait until all balancers take their lists of agents for complete."""
+        for host in self.deployment.balancer_hosts:
+            await self.deployment.wait_until(lambda host=host: self.is_complete(host))
+
 
 class LostRequestTest(MembershipCase):
     late_hosts = (LATE_BALANCER,)
@@ -70,19 +75,16 @@
         """Guards against the deletion of the entry of a live agent, and its flows."""
         deployment = self.deployment
         first, *others = rank_names(b"reaper", deployment.balancer_hosts)
-        for edge in deployment.balancer_hosts:
-            await deployment.wait_until(lambda edge=edge: self.is_complete(edge))
+        await self.all_are_complete()
         host = deployment.agent_hosts[0]
-        for link in ((first, host), (host, first)):
-            deployment.network.cut(*link, True)
+        deployment.cut_link(first, host, True)
         await asyncio.sleep(STALE_AFTER_S + 2 * CLEANUP_INTERVAL_S + 2.0)
         api = PlatformObjects(lambda: deployment.store)
         client = StoreClient(api, random.Random(1))
         self.assertIsNotNone(await client.get(TARGET_KIND, host))
         target = deployment.target_of(host)
         port = await self.open_at(others[0], target)
-        for link in ((first, host), (host, first)):
-            deployment.network.cut(*link, False)
+        deployment.cut_link(first, host, False)
         answer = await deployment.request(first, port, b"second")
         self.assertEqual(answer, f"{target.name}:second".encode())
 
--- a/tests/processes/test_upgrade.py
+++ b/tests/processes/test_upgrade.py
@@ -146,8 +146,7 @@
         for edge in deployment.balancer_hosts:
             await deployment.wait_until(lambda edge=edge: self.is_complete(edge))
         host = deployment.agent_hosts[0]
-        for link in ((first, host), (host, first)):
-            deployment.network.cut(*link, True)
+        deployment.cut_link(first, host, True)
         await asyncio.sleep(STALE_AFTER_S + 2 * CLEANUP_INTERVAL_S + 2.0)
         log = deployment.log(first)
         self.assertIn(f"event=entry-kept kind=ryesaddle-targets name={host}", log)
