--- a/tests/daemons/test_peers.py
+++ b/tests/daemons/test_peers.py
@@ -118,10 +118,6 @@
         self.assertIs(await self.fetch(), FetchResult.ARRIVED)
 
 
-if __name__ == "__main__":
-    unittest.main()
-
-
 class MergeTest(unittest.IsolatedAsyncioTestCase):
     """What a balancer learns of agents and of live processes from its peers."""
 
@@ -207,3 +203,7 @@
         with patch.object(peers_module, "send_request", send):
             heard = await self.peers.names_heard_by_others()
         self.assertEqual(heard, {"edge-1", "side-1"})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/daemons/test_sockets.py
+++ b/tests/daemons/test_sockets.py
@@ -16,7 +16,7 @@
     """Guards against an entry of another writer that ends each round of reports."""
 
     def send(self, sender_is_open):
-        """Send to unusable addresses and to a usable one; return the count received."""
+        """Send to unusable addresses and to a usable one; return how many failed."""
 
         async def run():
             with socket.socket(type=socket.SOCK_DGRAM) as receiver:
--- a/tests/processes/test_upgrade.py
+++ b/tests/processes/test_upgrade.py
@@ -62,7 +62,7 @@
 
 class RollingUpgradeTest(UpgradeCase):
     async def replace_all_under_load(self, hosts, before, after):
-        """Replace all processes in turn; return what callers and targets have seen."""
+        """Replace all processes in turn; check that no flow is reset or unanswered."""
         deployment = self.deployment
         deployment.sources = dict.fromkeys(hosts, before) if before else {}
         await deployment.start()
