--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import struct
@@ -19,6 +20,7 @@
 from collections import Counter
 from pathlib import Path
 from urllib.parse import parse_qs, unquote, urlsplit
+from zlib import crc32
 
 ROOT = Path(__file__).resolve().parents[1]
 HEAD = struct.Struct("!IIIHI4s4sHHB5s")
@@ -26,6 +28,7 @@
 COPY_DELAYS_S = (0.0, 0.2, 0.6)
 GIVE_UP_S = 1.4
 RETRANSMIT_S = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6)
+MAX_ACK_DISTANCE = 76_800
 PAGE_ITEMS, PAGE_BYTES = 500, 1_000_000
 STORE_DELAY_S = 0.004
 RESTART_DELAY_S = 0.5
@@ -104,6 +107,7 @@
         self._kinds = {}
         self._revision = 100
         self._server = None
+        self.silent = False  # whether the store is down and answers nothing
 
     async def open(self):
         """Listen."""
@@ -143,6 +147,8 @@
                 size = int(fields.get("content-length", 0))
                 body = await reader.readexactly(size) if size else b""
                 await asyncio.sleep(STORE_DELAY_S)
+                while self.silent:
+                    await asyncio.sleep(0.05)
                 status, answer = self._answer(method, target, body)
                 reply = (
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
@@ -154,6 +160,8 @@
                     break
         except (asyncio.IncompleteReadError, ConnectionError, ValueError):
             pass
+        except asyncio.CancelledError:
+            pass  # at the end of the case
         finally:
             writer.close()
 
@@ -227,7 +235,8 @@
         self.opened = []  # (time, flow) of each opening packet that was taken
         self.ran = Counter()
         self.drain_acknowledged_at = None
-        self._flows = {}
+        self.closes_flows = True  # after each answer
+        self._flows = {}  # number of the next byte to send
         self._next_number = 1_000_000 * (1 + sum(ident.encode()))
         self._transport = self._listener = None
 
@@ -258,7 +267,7 @@
             self._take_opening(flow, seq)
             return
         number = self._flows.get(flow)
-        if number is None or ack < number or ack > number + 100_000:
+        if number is None or abs(ack - number) > MAX_ACK_DISTANCE:
             self._transport.sendto(bounce(packet), self.outbound)
             return
         if data and data not in self.ran:
@@ -281,8 +290,10 @@
         if self._transport.is_closing() or flow not in self._flows:
             return
         body = self.ident.encode() + b":" + data
-        number = self._flows[flow] + 1
-        self._send(flow, ACK | FIN, number, seq + len(data), body)
+        flags = ACK | FIN if self.closes_flows else ACK
+        self._send(flow, flags, self._flows[flow] + 1, seq + len(data), body)
+        if not self.closes_flows:
+            self._flows[flow] += len(body)
 
     def _send(self, flow, flags, seq, ack, data=b""):
         packet = make_packet(flow[1], flow[0], flags, seq, ack, data)
@@ -309,11 +320,11 @@
         while True:
             body = self.report()
             status = await post(self.admin, self.ident, "heartbeat", body)
-            if status == 200 and body["state"] == "draining":
-                if self.drain_acknowledged_at is None:
-                    self.drain_acknowledged_at = time.monotonic()
-                    self._record.add(f"{self.ident}: draining was acknowledged")
-            await asyncio.sleep(interval_s)
+            is_first = self.drain_acknowledged_at is None
+            if status == 200 and body["state"] == "draining" and is_first:
+                self.drain_acknowledged_at = time.monotonic()
+                self._record.add(f"{self.ident}: draining was acknowledged")
+            await asyncio.sleep(interval_s * random.uniform(0.95, 1.05))
 
 
 async def post(address, ident, action, body):
@@ -384,7 +395,36 @@
         return outcome
 
     async def _exchange(self, front, port, data, queue):
-        number = None
+        outcome, number = await self._open(front, port, queue)
+        if outcome != "open":
+            return outcome, b""
+        outcome, answer = await self._request(front, port, data, queue, 2, number)
+        if outcome == "served":
+            self._send(front, port, ACK | FIN, 2 + len(data), number + len(answer))
+        return outcome, answer
+
+    async def keep_open(self, front, label, pause_s):
+        """Send one request after the other on one flow until it ends.
+
+        Returns what has ended it; runs until cancelled if nothing does.
+        """
+        self._port += 1
+        port, seq = self._port, 2
+        self._waiting[port] = queue = asyncio.Queue()
+        outcome, number = await self._open(front, port, queue)
+        self._record.add(f"client: flow {port} to {front[0]}: {outcome}")
+        count = 0
+        while outcome in ("open", "served"):
+            data = f"{label}-{count}".encode()
+            count += 1
+            outcome, answer = await self._request(front, port, data, queue, seq, number)
+            self._record.add(f"client: {data.decode()} on {port}: {outcome}")
+            seq, number = seq + len(data), number + len(answer)
+            await asyncio.sleep(pause_s)
+        return outcome
+
+    async def _open(self, front, port, queue):
+        """Return ("open", number of the next byte from the server), or a failure."""
         for copy, delay_s in enumerate(COPY_DELAYS_S):
             self._send(front, port, SYN, 1, copy)
             following = (*COPY_DELAYS_S, GIVE_UP_S)[copy + 1]
@@ -392,13 +432,14 @@
             if found is None:
                 continue
             if found[1] & RST:
-                return "reset", b""
-            number = found[2] + 1
-            break
-        if number is None:
-            return "not opened", b""
+                return "reset", 0
+            return "open", found[2] + 1
+        return "not opened", 0
+
+    async def _request(self, front, port, data, queue, seq, number):
+        """Send data until it is answered; return (outcome, answer)."""
         for pause_s in RETRANSMIT_S:
-            self._send(front, port, ACK, 2, number, data)
+            self._send(front, port, ACK, seq, number, data)
             end = time.monotonic() + pause_s
             while (left_s := end - time.monotonic()) > 0:
                 found = await self._next(queue, left_s)
@@ -406,8 +447,7 @@
                     break
                 if found[1] & RST:
                     return "reset", b""
-                if found[4]:
-                    self._send(front, port, ACK | FIN, 2 + len(data), number + 1)
+                if found[4].endswith(b":" + data):
                     return "served", found[4]
         return "unanswered", b""
 
@@ -430,7 +470,7 @@
     """The platform's routers: probe the balancers, and choose one for each flow."""
 
     def __init__(self, machines):
-        self._misses = {machine: 2 for machine in machines}
+        self._misses = dict.fromkeys(machines, 2)
 
     async def run(self):
         """Probe twice a second until cancelled."""
@@ -455,7 +495,9 @@
         """Return where the packets of a client's port go; all if none is ready."""
         ready = [m for m, misses in self._misses.items() if misses < 2]
         machines = ready or list(self._misses)
-        return max(machines, key=lambda m: hash((m.ip, port))).at("callers")
+        return max(machines, key=lambda m: crc32(f"{m.ip} {port}".encode())).at(
+            "callers"
+        )
 
 
 class Machine:
