--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -32,6 +32,7 @@
 PAGE_ITEMS, PAGE_BYTES = 500, 1_000_000
 STORE_DELAY_S = 0.004
 RESTART_DELAY_S = 0.5
+TRAFFIC_AFTER_S = 16  # the start of the machines
 
 
 def make_packet(src, dst, flags, seq=0, ack=0, data=b""):
@@ -306,7 +307,7 @@
         body = {
             "service": self.service,
             "address": f"{host}:{port}",
-            "zone": "dc",
+            "zone": self.machine.zone,
             "version": "v1",
             "slots": 2,
             "state": self.state,
@@ -506,6 +507,8 @@
     def __init__(self, deployment, role, name, ip, service=""):
         self.deployment, self.role, self.name = deployment, role, name
         self.ip, self.service = ip, service
+        number = int(ip.rpartition(".")[2]) - 1
+        self.zone = deployment.zones[number % len(deployment.zones)]
         self.process = None
 
     def at(self, port):
@@ -546,7 +549,7 @@
         deployment = self.deployment
         fields = {
             "node": self.name,
-            "data_centre": "dc",
+            "data_centre": self.zone,
             "store": _text(deployment.store.address),
             "seeds": [_text(m.at("admin")) for m in deployment.balancers[:3]],
             "flow_max_s": 60,
@@ -556,7 +559,10 @@
         for name in ("peer", "control", "ready", "callers", "metrics"):
             fields[name] = _text(self.at(ports.get(name, name)))
         if self.role == "balancer":
-            return {**fields, "configuration_ms": 3000}
+            fields["configuration_ms"] = 5000
+            if deployment.evacuation_ms is not None:
+                fields["evacuation_ms"] = deployment.evacuation_ms
+            return fields
         return {
             **fields,
             "service": self.service,
@@ -582,12 +588,27 @@
         Number of balancers.
     services : sequence of str
         The service of each server.
+    work_s : float
+        How long a server works on a request.
+    zones : sequence of str
+        The zones, which the machines take in turn.
+    evacuation_ms : int, optional
+        The bound of evacuations, if the site has one.
     """
 
     fronts = {"case-desk": ("198.18.0.1", 443), "pack-archive": ("198.18.0.2", 443)}
     heartbeat_ms = 770
 
-    def __init__(self, folder, balancers, services, work_s=0.01):
+    def __init__(
+        self,
+        folder,
+        balancers,
+        services,
+        work_s=0.01,
+        zones=("dc",),
+        evacuation_ms=None,
+    ):
+        self.zones, self.evacuation_ms = zones, evacuation_ms
         names = ("store", "callers", "admin", "ready", "peer", "metrics", "app", "out")
         self.ports = {name: free_port() for name in names}
         self._folder = tempfile.TemporaryDirectory()
@@ -624,7 +645,7 @@
         return task
 
     async def start(self):
-        """Start the stand-ins and all processes; traffic starts 12 s later."""
+        """Start the stand-ins and all processes."""
         routes = [
             {
                 "name": f"r-{name}",
@@ -689,6 +710,8 @@
 
     async def run():
         deployment = Deployment(folder, balancers, services, **options)
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(115):
                 await deployment.start()
@@ -703,7 +726,7 @@
 
     try:
         broken = asyncio.run(run())
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         print(f"could not run: {exc!r}")
         sys.exit(2)
     if broken is None:
